--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-// Package dewdrum is an overload controller for one server of a fleet. It decides which requests the server
+// Package silverpath is an overload controller for one server of a fleet. It decides which requests the server
 // takes, runs and turns away, how long an outgoing call may wait, and what callers are told.
 //
 // A server creates one [Shedder] with [New], reports events to it by calling its methods, and carries out the
@@ -7,7 +7,7 @@
 // must call it under one lock. Instances share nothing.
 //
 // This file is the whole interface. The decisions are in shedder.go.
-package dewdrum
+package silverpath
 
 import "time"
 
--- a/checker_test.go
+++ b/checker_test.go
@@ -1,4 +1,4 @@
-package dewdrum_test
+package silverpath_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"dewdrum"
+	"silverpath"
 )
 
 // The checker hosts a Shedder, plays random legal events to it and asserts the four rules on its actions. It
@@ -28,8 +28,8 @@
 )
 
 type job struct {
-	q              dewdrum.Request
-	class          dewdrum.Class
+	q              silverpath.Request
+	class          silverpath.Class
 	phase          phase
 	reached, due   time.Duration
 	answered, ran  bool
@@ -46,9 +46,9 @@
 type linger struct{ until time.Duration }
 
 type checker struct {
-	set      dewdrum.Settings
+	set      silverpath.Settings
 	rng      *rand.Rand
-	shed     *dewdrum.Shedder
+	shed     *silverpath.Shedder
 	now      time.Duration
 	jobs     map[string]*job
 	list     []*job
@@ -95,12 +95,12 @@
 	case j.phase == isPaused:
 	case j.phase != isHeld:
 		return
-	case j.ran && j.class.Effect != dewdrum.Safe:
+	case j.ran && j.class.Effect != silverpath.Safe:
 		c.fault("duplicate: %s run again", id)
 	case c.drainAt > 0 && j.reached > c.drainAt+c.set.DrainGrace:
 		c.fault("drain: %s run, though it came after the grace", id)
 	}
-	if j.q.Repeats != "" && j.class.Effect == dewdrum.Keyed {
+	if j.q.Repeats != "" && j.class.Effect == silverpath.Keyed {
 		c.fault("duplicate: %s run, though it repeats %s", id, j.q.Repeats)
 	}
 	j.ran, j.phase = true, isRunning
@@ -108,7 +108,7 @@
 
 func (c *checker) Refuse(id string, _ time.Duration, _ bool) {
 	j := c.act("refuse", id)
-	if j.class.Effect != dewdrum.Safe && (j.ran || j.q.Repeats != "") {
+	if j.class.Effect != silverpath.Safe && (j.ran || j.q.Repeats != "") {
 		c.fault("duplicate: %s refused after it has run", id)
 	}
 	c.final(j, "refusal")
@@ -124,7 +124,7 @@
 	case isHeld, isPaused, joins:
 		j.phase = isOver
 	case standsAtCall, callOut:
-		c.later(func() { c.end(j, dewdrum.Canceled) })
+		c.later(func() { c.end(j, silverpath.Canceled) })
 	}
 }
 
@@ -138,7 +138,7 @@
 
 func (c *checker) Stop(id string) {
 	j := c.act("stop", id)
-	if c.set.Halt == dewdrum.HaltNone {
+	if c.set.Halt == silverpath.HaltNone {
 		c.fault("%s stopped, where nothing can be", id)
 	}
 	if j.phase == isRunning && !c.hung {
@@ -151,7 +151,7 @@
 	if j.phase != standsAtCall {
 		return
 	}
-	if j.uncertain && j.class.Effect != dewdrum.Safe {
+	if j.uncertain && j.class.Effect != silverpath.Safe {
 		c.fault("duplicate: call of %s repeated after it may have had its effect", id)
 	}
 	if patience <= 0 {
@@ -182,28 +182,28 @@
 func (c *checker) Wake(d time.Duration)    { c.timers = append(c.timers, c.now+d) }
 func (c *checker) Signal(v float64) {
 	c.actions = append(c.actions, fmt.Sprint(c.now, " signal ", v))
-	if v < 0 || c.set.Signal == dewdrum.SignalNone {
+	if v < 0 || c.set.Signal == silverpath.SignalNone {
 		c.fault("signal %v", v)
 	}
 }
 
 func (c *checker) later(f func()) { c.ends = append(c.ends, f) }
 
-func (c *checker) end(j *job, o dewdrum.Outcome) {
+func (c *checker) end(j *job, o silverpath.Outcome) {
 	if j.phase == isOver {
 		return
 	}
 	if j.phase == callOut {
 		c.lingers = append(c.lingers, linger{c.now + c.set.CallLinger})
 	}
-	if o == dewdrum.Canceled && !j.answered && !j.gone {
+	if o == silverpath.Canceled && !j.answered && !j.gone {
 		j.phase = isPaused
-		if c.set.Halt == dewdrum.HaltDrop {
+		if c.set.Halt == silverpath.HaltDrop {
 			j.phase = isHeld
 		}
 	} else {
 		j.phase = isOver
-		if !j.answered && (o == dewdrum.OK || o == dewdrum.Failed) {
+		if !j.answered && (o == silverpath.OK || o == silverpath.Failed) {
 			c.final(j, "its run")
 		}
 	}
@@ -216,7 +216,7 @@
 	if !class.CallsBelow {
 		j.calls = 0
 	}
-	j.q = dewdrum.Request{
+	j.q = silverpath.Request{
 		ID: fmt.Sprintf("r%d", n), Class: class.Name, HeldKB: 5 + c.rng.Float64()*20,
 		Caller: c.rng.IntN(max(1, c.set.Callers)),
 		Unread: time.Duration(c.rng.IntN(200)) * time.Millisecond, Tenant: []string{"", "t", "nobody"}[c.rng.IntN(3)],
@@ -224,7 +224,7 @@
 	if c.rng.IntN(2) == 0 {
 		j.q.Work = time.Duration(10+c.rng.IntN(300)) * time.Millisecond
 	}
-	if class.Effect == dewdrum.Safe && c.set.FreshFor > 0 {
+	if class.Effect == silverpath.Safe && c.set.FreshFor > 0 {
 		j.q.Key = fmt.Sprint("k", c.rng.IntN(3))
 		for _, o := range c.list {
 			if o.q.Key == j.q.Key && c.keys[o.q.ID] > c.now && o.q.Repeats == "" && !o.gone && c.rng.IntN(2) == 0 {
@@ -235,7 +235,7 @@
 	if c.tellsDue {
 		j.q.Deadline = c.now + class.Deadline/2
 	}
-	if class.Effect == dewdrum.Keyed && c.rng.IntN(3) == 0 {
+	if class.Effect == silverpath.Keyed && c.rng.IntN(3) == 0 {
 		for _, o := range c.list {
 			if o.class.Name == class.Name && c.keys[o.q.ID] > c.now && (o.ran || o.phase == isHeld) && o.q.Repeats == "" {
 				j.q.Repeats = o.q.ID
@@ -254,7 +254,7 @@
 	case 0: // the odd ones
 		c.shed.Gone(c.now, "nobody")
 		c.shed.NeedsCall(c.now, j.q.ID+"x")
-		c.shed.CallEnded(c.now, j.q.ID, dewdrum.OK, 0)
+		c.shed.CallEnded(c.now, j.q.ID, silverpath.OK, 0)
 	case 1:
 		j.again = true
 		c.shed.Arrive(c.now, j.q)
@@ -278,36 +278,36 @@
 			switch {
 			case j.stopping:
 				j.stopping = false
-				c.end(j, dewdrum.Canceled)
+				c.end(j, silverpath.Canceled)
 			case j.work <= 0 && j.calls > 0:
 				j.calls--
 				j.work = c.rng.IntN(40)
 				if j.answered || j.gone {
-					c.end(j, dewdrum.Canceled)
+					c.end(j, silverpath.Canceled)
 					break
 				}
 				j.phase = standsAtCall
 				c.shed.NeedsCall(c.now, j.q.ID)
 			case j.work <= 0:
-				c.end(j, []dewdrum.Outcome{dewdrum.OK, dewdrum.OK, dewdrum.Failed}[c.rng.IntN(3)])
+				c.end(j, []silverpath.Outcome{silverpath.OK, silverpath.OK, silverpath.Failed}[c.rng.IntN(3)])
 			}
 		case callOut:
 			calls++
-			o, over := dewdrum.TimedOut, c.now >= j.callBy
+			o, over := silverpath.TimedOut, c.now >= j.callBy
 			if !over && c.rng.IntN(30) == 0 {
 				over = true
-				o = []dewdrum.Outcome{dewdrum.OK, dewdrum.OK, dewdrum.Failed, dewdrum.Overloaded,
-					dewdrum.Unreachable, dewdrum.Disconnected}[c.rng.IntN(6)]
+				o = []silverpath.Outcome{silverpath.OK, silverpath.OK, silverpath.Failed, silverpath.Overloaded,
+					silverpath.Unreachable, silverpath.Disconnected}[c.rng.IntN(6)]
 			}
 			if over {
 				j.phase = standsAtCall
-				if o == dewdrum.OK {
+				if o == silverpath.OK {
 					j.phase = isRunning
 				} else if !o.NeverRan() {
 					c.lingers = append(c.lingers, linger{c.now + c.set.CallLinger})
 				}
-				j.uncertain = j.uncertain || o != dewdrum.OK && !o.NeverRan()
-				if o == dewdrum.OK {
+				j.uncertain = j.uncertain || o != silverpath.OK && !o.NeverRan()
+				if o == silverpath.OK {
 					j.uncertain = false
 				}
 				c.shed.CallEnded(c.now, j.q.ID, o, c.now-j.callAt)
@@ -315,7 +315,7 @@
 		case joins:
 			j.work--
 			if j.work <= 0 {
-				c.end(j, dewdrum.OK)
+				c.end(j, silverpath.OK)
 			}
 		}
 		if !j.answered && !j.gone && c.rng.IntN(3000) == 0 {
@@ -324,7 +324,7 @@
 			case isHeld, isPaused, joins:
 				j.phase = isOver
 			case standsAtCall, callOut:
-				c.later(func() { c.end(j, dewdrum.Canceled) })
+				c.later(func() { c.end(j, silverpath.Canceled) })
 			}
 			c.shed.Gone(c.now, j.q.ID)
 		}
@@ -336,7 +336,7 @@
 			c.timers = append(c.timers, t)
 			continue
 		}
-		c.shed.Tick(c.now, dewdrum.Gauges{CPU: c.rng.Float64() * 1.2, OnCores: c.rng.Float64() * 20})
+		c.shed.Tick(c.now, silverpath.Gauges{CPU: c.rng.Float64() * 1.2, OnCores: c.rng.Float64() * 20})
 	}
 	c.assert(calls)
 }
@@ -392,7 +392,7 @@
 	}
 	c.lingers = left
 	c.inHands = append(c.inHands, float64(calls+len(left)))
-	if c.set.Dependency == dewdrum.DependencyShared {
+	if c.set.Dependency == silverpath.DependencyShared {
 		if m := mean(c.inHands, int(c.set.CallWindow/step)); m > c.set.CallShare {
 			c.fault("fall-over: %.2f calls in hand, the share is %.2f", m, c.set.CallShare)
 		}
@@ -408,28 +408,28 @@
 	return sum / float64(n)
 }
 
-func randomSettings(rng *rand.Rand) dewdrum.Settings {
+func randomSettings(rng *rand.Rand) silverpath.Settings {
 	pick := func(n int) int { return rng.IntN(n) }
 	callShare := math.Exp(rng.Float64()*7-5) * float64(min(1, pick(10))) // from 0.007 to 7, now and then none
-	return dewdrum.Settings{
+	return silverpath.Settings{
 		Cores: 1 + pick(2)*pick(8), MemoryKB: 3000 + rng.Float64()*20000, RunFactor: 1 + rng.Float64()*10,
 		KeyKB: rng.Float64() * 30, Cold: pick(2) == 0, ColdFrom: 0.1 + rng.Float64()*0.5,
 		WarmWithin: time.Duration(1+pick(20)) * time.Second, CrowdLimit: 1.2 + rng.Float64()*8,
 		CrowdWindow: time.Duration(1+pick(2)) * time.Second, DrainGrace: time.Duration(pick(2000)) * time.Millisecond,
 		OverShareWorth: rng.Float64(), WorthByWork: pick(2) == 0, ClassMix: rng.Float64() / 2,
-		Servers: pick(400), Callers: pick(1200), Tier: pick(2), Halt: dewdrum.Halt(pick(3)),
-		Signal: dewdrum.Signal(pick(4)), Advice: pick(2) == 0, MaxAdvice: time.Second,
-		Dependency: dewdrum.Dependency(pick(3)), CallShare: callShare,
+		Servers: pick(400), Callers: pick(1200), Tier: pick(2), Halt: silverpath.Halt(pick(3)),
+		Signal: silverpath.Signal(pick(4)), Advice: pick(2) == 0, MaxAdvice: time.Second,
+		Dependency: silverpath.Dependency(pick(3)), CallShare: callShare,
 		CallWindow: 5 * time.Second, CallLinger: time.Duration(pick(300)) * time.Millisecond,
 		KeepAlive: 15 * time.Second, FreshFor: time.Duration(pick(2)*500) * time.Millisecond,
 		Readiness: pick(2) == 0, MarksRetries: pick(2) == 0, Seed: int64(pick(100)),
-		Tenants: []dewdrum.Tenant{{Name: "t", Rate: rng.Float64() * 50}},
-		Classes: []dewdrum.Class{
+		Tenants: []silverpath.Tenant{{Name: "t", Rate: rng.Float64() * 50}},
+		Classes: []silverpath.Class{
 			{Name: "read", Aim: time.Second, Deadline: 2500 * time.Millisecond, Worth: 1, LateWorth: 0.2,
 				CallsBelow: true, WithoutCall: 0.5},
-			{Name: "book", Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 3, Effect: dewdrum.Keyed,
+			{Name: "book", Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 3, Effect: silverpath.Keyed,
 				KeyWindow: time.Duration(5+pick(10)) * time.Second, CallsBelow: true},
-			{Name: "pay", Aim: time.Second, Deadline: 4 * time.Second, Worth: 5, Effect: dewdrum.Unsafe,
+			{Name: "pay", Aim: time.Second, Deadline: 4 * time.Second, Worth: 5, Effect: silverpath.Unsafe,
 				CallsBelow: pick(2) == 0},
 		},
 	}
@@ -440,7 +440,7 @@
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 2))
 	c := &checker{tellsDue: seed%3 == 0, set: randomSettings(rng), rng: rng, jobs: map[string]*job{}, keys: map[string]time.Duration{}}
-	shed, err := dewdrum.New(0, c.set, c)
+	shed, err := silverpath.New(0, c.set, c)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -508,7 +508,7 @@
 		b.Run(fmt.Sprintf("servers=callers=%d", size), func(b *testing.B) {
 			set := randomSettings(rand.New(rand.NewPCG(7, 7)))
 			set.Cores, set.MemoryKB, set.Servers, set.Callers = 2, 50000, size, size
-			shed, err := dewdrum.New(0, set, idleHost{})
+			shed, err := silverpath.New(0, set, idleHost{})
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -516,12 +516,12 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				id := fmt.Sprint("r", i)
-				shed.Arrive(now, dewdrum.Request{ID: id, Class: "read", HeldKB: 10, Caller: i % size,
+				shed.Arrive(now, silverpath.Request{ID: id, Class: "read", HeldKB: 10, Caller: i % size,
 					Work: 100 * time.Millisecond})
 				now += 30 * time.Millisecond
-				shed.Tick(now, dewdrum.Gauges{CPU: 0.7, OnCores: 2})
+				shed.Tick(now, silverpath.Gauges{CPU: 0.7, OnCores: 2})
 				shed.Gone(now, fmt.Sprint("r", i-1))
-				shed.RunEnded(now, id, dewdrum.OK, 30*time.Millisecond)
+				shed.RunEnded(now, id, silverpath.OK, 30*time.Millisecond)
 			}
 		})
 	}
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -6,7 +6,7 @@
 	"log"
 	"os"
 
-	"dewdrum/internal/wire"
+	"silverpath/internal/wire"
 )
 
 func main() {
--- a/example_test.go
+++ b/example_test.go
@@ -1,10 +1,10 @@
-package dewdrum_test
+package silverpath_test
 
 import (
 	"fmt"
 	"time"
 
-	"dewdrum"
+	"silverpath"
 )
 
 // printer is a host that prints what it is asked to do. A server would start handlers and send answers here.
@@ -27,17 +27,17 @@
 
 // One core runs one request; the second waits in the hold until the first has ended.
 func Example() {
-	shedder, err := dewdrum.New(0, dewdrum.Settings{
+	shedder, err := silverpath.New(0, silverpath.Settings{
 		Cores: 1, MemoryKB: 64 << 10, RunFactor: 4, CrowdLimit: 4, CrowdWindow: 2 * time.Second,
-		Classes: []dewdrum.Class{{Name: "page", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}},
+		Classes: []silverpath.Class{{Name: "page", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}},
 	}, printer{})
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	shedder.Arrive(0, dewdrum.Request{ID: "a", Class: "page", HeldKB: 20, Work: 50 * time.Millisecond})
-	shedder.Arrive(0, dewdrum.Request{ID: "b", Class: "page", HeldKB: 20, Work: 50 * time.Millisecond})
-	shedder.RunEnded(50*time.Millisecond, "a", dewdrum.OK, 50*time.Millisecond)
+	shedder.Arrive(0, silverpath.Request{ID: "a", Class: "page", HeldKB: 20, Work: 50 * time.Millisecond})
+	shedder.Arrive(0, silverpath.Request{ID: "b", Class: "page", HeldKB: 20, Work: 50 * time.Millisecond})
+	shedder.RunEnded(50*time.Millisecond, "a", silverpath.OK, 50*time.Millisecond)
 	// Output:
 	// health true
 	// run a
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"dewdrum"
+	"silverpath"
 )
 
 // params is the part of the start-up settings that is used; unknown keys are disregarded.
@@ -77,13 +77,13 @@
 }
 
 // parseSettings reads the start-up settings and the names of the gauges.
-func parseSettings(text string) (dewdrum.Settings, []string, error) {
+func parseSettings(text string) (silverpath.Settings, []string, error) {
 	var p params
 	if err := json.Unmarshal([]byte(text), &p); err != nil {
-		return dewdrum.Settings{}, nil, fmt.Errorf("reading the settings: %w", err)
+		return silverpath.Settings{}, nil, fmt.Errorf("reading the settings: %w", err)
 	}
 	f, rules := p.Family, p.Rules
-	s := dewdrum.Settings{
+	s := silverpath.Settings{
 		Cores: f.CPUs, MemoryKB: f.MemoryKB, RunFactor: f.RunFactor, KeyKB: f.KeyKB,
 		Cold: f.Cold, ColdFrom: rules.ColdFrom, WarmWithin: us(rules.WarmWithin),
 		CrowdLimit: rules.FallMultiple, CrowdWindow: us(rules.OverloadFor), DrainGrace: us(rules.DrainGrace),
@@ -104,18 +104,18 @@
 		s.ClassMix = p.ScoringMix["worst_class"] / total
 	}
 	var err error
-	if s.Halt, err = choose("preemption", f.Preemption, map[string]dewdrum.Halt{
-		"none": dewdrum.HaltNone, "drop": dewdrum.HaltDrop, "pause": dewdrum.HaltPause}); err != nil {
+	if s.Halt, err = choose("preemption", f.Preemption, map[string]silverpath.Halt{
+		"none": silverpath.HaltNone, "drop": silverpath.HaltDrop, "pause": silverpath.HaltPause}); err != nil {
 		return s, nil, err
 	}
-	if s.Signal, err = choose("say", f.Say, map[string]dewdrum.Signal{
-		"none": dewdrum.SignalNone, "level": dewdrum.SignalLevel,
-		"credit": dewdrum.SignalCredit, "weight": dewdrum.SignalWeight}); err != nil {
+	if s.Signal, err = choose("say", f.Say, map[string]silverpath.Signal{
+		"none": silverpath.SignalNone, "level": silverpath.SignalLevel,
+		"credit": silverpath.SignalCredit, "weight": silverpath.SignalWeight}); err != nil {
 		return s, nil, err
 	}
-	if s.Dependency, err = choose("below", f.Below, map[string]dewdrum.Dependency{
-		"none": dewdrum.DependencyNone, "shared": dewdrum.DependencyShared,
-		"tier": dewdrum.DependencyTier}); err != nil {
+	if s.Dependency, err = choose("below", f.Below, map[string]silverpath.Dependency{
+		"none": silverpath.DependencyNone, "shared": silverpath.DependencyShared,
+		"tier": silverpath.DependencyTier}); err != nil {
 		return s, nil, err
 	}
 	if n := len(f.CallsByClass); n != 0 && n != len(p.Classes) {
@@ -125,12 +125,12 @@
 		return s, nil, fmt.Errorf("worth_without: %d values for %d classes", n, len(p.Classes))
 	}
 	for i, c := range p.Classes {
-		effect, err := choose("effect", c.Effect, map[string]dewdrum.Effect{
-			"pure": dewdrum.Safe, "token": dewdrum.Keyed, "side_effect": dewdrum.Unsafe})
+		effect, err := choose("effect", c.Effect, map[string]silverpath.Effect{
+			"pure": silverpath.Safe, "token": silverpath.Keyed, "side_effect": silverpath.Unsafe})
 		if err != nil {
 			return s, nil, err
 		}
-		class := dewdrum.Class{
+		class := silverpath.Class{
 			Name: c.Name, Aim: us(c.Target), AimStretch: c.AimStretch, Deadline: us(c.Deadline),
 			Worth: c.Worth, LateWorth: c.LateWorth, Effect: effect, KeyWindow: us(c.MemorySpan),
 		}
@@ -143,7 +143,7 @@
 		s.Classes = append(s.Classes, class)
 	}
 	for _, t := range p.Tenants {
-		s.Tenants = append(s.Tenants, dewdrum.Tenant{Name: t.Name, Rate: t.AllowancePerS})
+		s.Tenants = append(s.Tenants, silverpath.Tenant{Name: t.Name, Rate: t.AllowancePerS})
 	}
 	return s, f.Gauges, nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"dewdrum"
+	"silverpath"
 )
 
 // A message is one line, split into its name and values.
@@ -129,13 +129,13 @@
 	}
 }
 
-var outcomes = map[string]dewdrum.Outcome{
-	"Ok": dewdrum.OK, "Failed": dewdrum.Failed, "QueueFull": dewdrum.Overloaded,
-	"TimedOut": dewdrum.TimedOut, "ConnectError": dewdrum.Unreachable, "ResetByPeer": dewdrum.Disconnected,
-	"Canceled": dewdrum.Canceled, "Ignored": dewdrum.Ignored,
+var outcomes = map[string]silverpath.Outcome{
+	"Ok": silverpath.OK, "Failed": silverpath.Failed, "QueueFull": silverpath.Overloaded,
+	"TimedOut": silverpath.TimedOut, "ConnectError": silverpath.Unreachable, "ResetByPeer": silverpath.Disconnected,
+	"Canceled": silverpath.Canceled, "Ignored": silverpath.Ignored,
 }
 
-func (d *decoder) outcome() dewdrum.Outcome {
+func (d *decoder) outcome() silverpath.Outcome {
 	v := d.text("state_code")
 	o, ok := outcomes[v]
 	if !ok {
@@ -144,8 +144,8 @@
 	return o
 }
 
-func (d *decoder) request() dewdrum.Request {
-	return dewdrum.Request{
+func (d *decoder) request() silverpath.Request {
+	return silverpath.Request{
 		ID:       d.text("corr"),
 		Class:    d.text("class"),
 		Tenant:   d.optional("account"),
@@ -162,8 +162,8 @@
 }
 
 // gauges reads the values of a timer, ordered as the settings named them.
-func (d *decoder) gauges(names []string) dewdrum.Gauges {
-	var g dewdrum.Gauges
+func (d *decoder) gauges(names []string) silverpath.Gauges {
+	var g silverpath.Gauges
 	row, ok := d.fields["metrics"]
 	if !ok {
 		d.fail("metrics", "missing")
@@ -235,7 +235,7 @@
 
 // instance is one Shedder with what its host must remember.
 type instance struct {
-	shedder *dewdrum.Shedder
+	shedder *silverpath.Shedder
 	gauges  []string
 }
 
@@ -374,7 +374,7 @@
 		return
 	}
 	settings.Seed = salt
-	shedder, err := dewdrum.New(s.now, settings, &host{s, who})
+	shedder, err := silverpath.New(s.now, settings, &host{s, who})
 	if err != nil {
 		d.fail("params", err.Error())
 		return
--- a/record.go
+++ b/record.go
@@ -1,9 +1,9 @@
-package dewdrum
+package silverpath
 
 import (
 	"time"
 
-	"dewdrum/internal/window"
+	"silverpath/internal/window"
 )
 
 // This file holds what is kept of the server, its classes, requests and keys. What is done with it, and every
--- a/settings.go
+++ b/settings.go
@@ -1,4 +1,4 @@
-package dewdrum
+package silverpath
 
 import (
 	"errors"
--- a/shedder.go
+++ b/shedder.go
@@ -1,6 +1,6 @@
-package dewdrum
+package silverpath
 
-// Every decision of dewdrum is in this file; its interface is in api.go. The ordinary path is the go-zero
+// Every decision of silverpath is in this file; its interface is in api.go. The ordinary path is the go-zero
 // adaptive shedder, from "Adaptive load shedding for microservice governance" (access9, 21 November 2021).
 //
 // The order of decision for an arrival:
@@ -23,7 +23,7 @@
 	"slices"
 	"time"
 
-	"dewdrum/internal/window"
+	"silverpath/internal/window"
 )
 
 // The source's defaults.
@@ -65,10 +65,10 @@
 // New returns a Shedder for the given settings. Its first actions are asked of the host at once.
 func New(now time.Duration, set Settings, host Host) (*Shedder, error) {
 	if host == nil {
-		return nil, errors.New("dewdrum: no host")
+		return nil, errors.New("silverpath: no host")
 	}
 	if err := check(&set); err != nil {
-		return nil, fmt.Errorf("dewdrum: impossible settings: %w", err)
+		return nil, fmt.Errorf("silverpath: impossible settings: %w", err)
 	}
 	s := &Shedder{
 		set: set, host: host, now: now, started: now, nextSample: now + sampleEvery,
--- a/shedder_test.go
+++ b/shedder_test.go
@@ -1,4 +1,4 @@
-package dewdrum
+package silverpath
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"dewdrum/internal/window"
+	"silverpath/internal/window"
 )
 
 // script is a host that writes its actions down.
