--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,386 @@
+// Package core is the service without a wire. It owns the decision module behind one lock, is its Host, and
+// leads every request from its reading to its one answer. Fronts bring requests and carry answers away; a
+// Runner does the work and a Caller makes the calls below.
+package core
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"sync"
+	"time"
+
+	"silverpath"
+	"silverpath/internal/stats"
+)
+
+// Outcome is what a request's one answer says.
+type Outcome int
+
+const (
+	Served  Outcome = iota
+	Refused         // this try never ran
+	Failed          // no assurance
+	Expired         // failed, since its time was up
+)
+
+func (o Outcome) String() string { return [...]string{"served", "refused", "failed", "expired"}[o] }
+
+// Request is one try of a request as a front read it.
+type Request struct {
+	Front, ID     string // the id is new with every try
+	Class, Tenant string
+	Key           string // keyed classes: the same for all tries of one request
+	Object        string // what a read is about, where told
+	Caller        int
+	HeldKB, Rank  float64
+	Reached, Due  time.Time // when it reached the machine; until when its caller waits
+	Body          []byte
+}
+
+// Answer is a final answer.
+type Answer struct {
+	Outcome Outcome
+	Body    []byte        // served: the result, unchanged
+	Wait    time.Duration // refused: stay away for so long
+	Final   bool          // refused: don't try elsewhere
+}
+
+// Runner does the work of requests. Its methods never block; what becomes of a run is told by Core.Ended and,
+// when it waits for a call, by Core.Awaits.
+type Runner interface {
+	Run(id, class string, body []byte)
+	Resume(id string, reply []byte) // the reply to the call that the run waits for
+	Probe()                         // ask for the gauges; told by Core.Gauges
+}
+
+// Caller makes one call below for the run of a request and returns how it ended. It gives the call up when
+// the patience is over or the context ends.
+type Caller interface {
+	Call(ctx context.Context, id string, patience time.Duration, body []byte) (silverpath.Outcome, []byte)
+}
+
+// Phase is a stretch of the service's life. Phases only move forward.
+type Phase int
+
+const (
+	Starting Phase = iota // the interpreter is not up yet
+	Serving
+	Draining // told to leave
+	Stopped  // everything is answered
+)
+
+func (p Phase) String() string { return [...]string{"starting", "serving", "draining", "stopped"}[p] }
+
+const (
+	gaugeWait   = 15 * time.Millisecond // a tick goes on with the last gauges when none come in this time
+	backstop    = 20 * time.Millisecond // before the due time the core answers what the module has not
+	ruleSlack   = 50 * time.Millisecond // by which time limits on sockets are extended; windows are kept that much longer
+	keyLinger   = 2 * time.Second       // past the last moment at which a repeat could still be read
+	taskKB      = 24                    // what a request in hand is taken to cost the process, body and goroutine
+	entryBytes  = 512                   // what a key costs besides its result
+	memoryShare = 8                     // keys and results take at most one part in so many of the memory
+)
+
+// Config sets up a Core.
+type Config struct {
+	Settings silverpath.Settings
+	MemoryMB float64 // the process's own limit
+	Log      *log.Logger
+	Stats    *stats.Counters
+}
+
+// Core is the service's one object: its phase, the module and all requests in hand.
+type Core struct {
+	set    silverpath.Settings
+	log    *log.Logger
+	stats  *stats.Counters
+	runner Runner
+	caller Caller
+	base   time.Time
+	idle   chan struct{} // closed when draining and nothing is owed
+
+	mu        sync.Mutex
+	module    *silverpath.Shedder
+	actions   []func() // asked by the module, taken in order once it has returned
+	phase     Phase
+	drainedAt time.Time
+	tasks     map[string]*task
+	owed      int
+	maxTasks  int
+	keys      keyTable
+	health    bool
+	signal    float64
+	signalSet bool
+	idleAfter time.Duration
+	gauges    silverpath.Gauges
+	ticking   bool // a tick waits for its gauges
+	swept     time.Time
+}
+
+// New returns a Core in the phase Starting. Attach gives it its runner before the first request.
+func New(cfg Config) (*Core, error) {
+	// The interpreter's protocol stops no run and goes on without no call, whatever a site would allow.
+	set := cfg.Settings
+	set.Halt = silverpath.HaltNone
+	set.Classes = append([]silverpath.Class(nil), set.Classes...)
+	for i := range set.Classes {
+		set.Classes[i].WithoutCall = 0
+	}
+	c := &Core{
+		set: set, log: cfg.Log, stats: cfg.Stats, base: time.Now(), idle: make(chan struct{}),
+		tasks: map[string]*task{}, health: true,
+		maxTasks: max(64, int(cfg.MemoryMB*1024/2/taskKB)),
+		keys:     newKeyTable(int(cfg.MemoryMB * (1 << 20) / memoryShare)),
+	}
+	if c.stats == nil {
+		c.stats = &stats.Counters{}
+	}
+	if c.log == nil {
+		c.log = log.Default()
+	}
+	return c, nil
+}
+
+// Attach gives the core those who do the work and make the calls, and starts the module. The caller is nil
+// where nothing lies below.
+func (c *Core) Attach(r Runner, below Caller) error {
+	c.runner, c.caller = r, below
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, err := silverpath.New(c.clock(), c.set, (*host)(c))
+	if err != nil {
+		return fmt.Errorf("starting the module: %w", err)
+	}
+	c.module = m
+	c.perform()
+	return nil
+}
+
+// clock is the module's time. It is monotonic: a step of the system's clock moves no timer.
+func (c *Core) clock() time.Duration { return time.Since(c.base) + time.Hour }
+
+// decide calls the module and then carries out, in order, what it asked for. It is called under the lock, and
+// no action blocks or writes to a network.
+func (c *Core) decide(event func(m *silverpath.Shedder, now time.Duration)) {
+	event(c.module, c.clock())
+	c.perform()
+}
+
+func (c *Core) perform() {
+	for len(c.actions) > 0 {
+		act := c.actions[0]
+		c.actions = c.actions[1:]
+		act()
+	}
+	c.actions = nil
+}
+
+// ---- Phases ----
+
+// Phase returns the current phase.
+func (c *Core) Phase() Phase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase
+}
+
+func (c *Core) enter(p Phase) {
+	if p > c.phase {
+		c.phase = p
+		c.log.Printf("phase %v", p)
+	}
+}
+
+// Up is told when the runner is ready.
+func (c *Core) Up() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.enter(Serving)
+}
+
+// Drain is the notice to leave; the process ends after the given time.
+func (c *Core) Drain(stop time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase >= Draining {
+		return
+	}
+	c.enter(Draining)
+	c.drainedAt = time.Now()
+	c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Drain(now, now+stop) })
+	c.settled()
+}
+
+// Idle is closed once the service drains and owes no answer. More may still come: see Stop.
+func (c *Core) Idle() <-chan struct{} { return c.idle }
+
+// Stop ends the last phase: whatever still comes is refused. It reports whether nothing was owed.
+func (c *Core) Stop() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.enter(Stopped)
+	return c.owed == 0
+}
+
+// Owed returns the number of requests that have not had their answer.
+func (c *Core) Owed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owed
+}
+
+func (c *Core) settled() {
+	if c.phase >= Draining && c.owed == 0 {
+		select {
+		case <-c.idle:
+		default:
+			close(c.idle)
+		}
+	}
+}
+
+// ---- What fronts ask ----
+
+// Health is what a health check is told.
+func (c *Core) Health() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.health
+}
+
+// Signal is the value that goes out with answers from now on, and whether there is one.
+func (c *Core) Signal() (float64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.signal, c.signalSet
+}
+
+// IdleAfter is how long a connection may carry nothing before it is closed; 0 leaves that to the callers.
+func (c *Core) IdleAfter() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleAfter
+}
+
+// Class returns the settings of a class.
+func (c *Core) Class(name string) (silverpath.Class, bool) {
+	for _, k := range c.set.Classes {
+		if k.Name == name {
+			return k, true
+		}
+	}
+	return silverpath.Class{}, false
+}
+
+// Advice is how long a caller is told to stay away where the core refuses without the module.
+func (c *Core) Advice() time.Duration { return c.set.MaxAdvice }
+
+// ---- The clock ----
+
+// wake asks for fresh gauges, and ticks with the last ones should none come.
+func (c *Core) wake() {
+	c.mu.Lock()
+	c.ticking = true
+	c.mu.Unlock()
+	time.AfterFunc(gaugeWait, c.tick)
+	c.runner.Probe()
+}
+
+// Gauges is told the runner's readings.
+func (c *Core) Gauges(g silverpath.Gauges) {
+	c.mu.Lock()
+	c.gauges = g
+	c.mu.Unlock()
+	c.tick()
+}
+
+func (c *Core) tick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ticking || c.phase == Stopped {
+		return
+	}
+	c.ticking = false
+	if now := time.Now(); now.Sub(c.swept) >= time.Second {
+		c.swept = now
+		c.keys.sweep(now)
+	}
+	c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Tick(now, c.gauges) })
+}
+
+// ---- The module's host: every method notes an action for perform ----
+
+type host Core
+
+func (h *host) later(id string, act func(c *Core, t *task)) {
+	c := (*Core)(h)
+	c.actions = append(c.actions, func() {
+		if t := c.tasks[id]; t != nil {
+			act(c, t)
+		}
+	})
+}
+
+func (h *host) Run(id string) { h.later(id, (*Core).run) }
+
+func (h *host) Refuse(id string, after time.Duration, final bool) {
+	h.later(id, func(c *Core, t *task) {
+		if t.ran { // a run is never refused; the module keeps to this, so the line should not be seen
+			c.log.Printf("guard: refusal of %s, which has run, goes out as a failure", id)
+			c.answer(t, Answer{Outcome: Failed})
+			return
+		}
+		c.answer(t, Answer{Outcome: Refused, Wait: after, Final: final})
+	})
+}
+
+func (h *host) Fail(id string) {
+	h.later(id, func(c *Core, t *task) {
+		out := Failed
+		if time.Until(t.Due) < 100*time.Millisecond {
+			out = Expired
+		}
+		c.answer(t, Answer{Outcome: out})
+	})
+}
+
+func (h *host) Join(id string) { h.later(id, (*Core).join) }
+
+func (h *host) Stop(string) {} // see New: no site has it
+
+func (h *host) Call(id string, patience time.Duration) {
+	h.later(id, func(_ *Core, t *task) { t.post(step{kind: toCall, patience: patience}) })
+}
+
+func (h *host) SkipCall(string) {} // see New
+
+func (h *host) KeepKey(id string, d time.Duration) {
+	h.later(id, func(c *Core, t *task) { c.keys.keep(t, d) })
+}
+
+func (h *host) ForgetKey(id string) {
+	h.later(id, func(c *Core, t *task) { c.release(t) })
+}
+
+func (h *host) Health(good bool) {
+	c := (*Core)(h)
+	c.actions = append(c.actions, func() { c.health = good })
+}
+
+func (h *host) Signal(value float64) {
+	c := (*Core)(h)
+	c.actions = append(c.actions, func() { c.signal, c.signalSet = value, true })
+}
+
+func (h *host) CloseIdle(after time.Duration) {
+	c := (*Core)(h)
+	c.actions = append(c.actions, func() { c.idleAfter = after })
+}
+
+func (h *host) Wake(after time.Duration) {
+	c := (*Core)(h)
+	c.actions = append(c.actions, func() { time.AfterFunc(after, c.wake) })
+}
+
+func (h *host) Log(text string) { (*Core)(h).log.Printf("module: %s", text) }
--- /dev/null
+++ b/internal/core/keys.go
@@ -0,0 +1,185 @@
+package core
+
+import (
+	"time"
+
+	"silverpath"
+)
+
+// flight is the one run of a request that may come again: held, under way, or over with its result.
+type flight struct {
+	id      string
+	entry   *entry
+	reached time.Time
+	before  *flight // what had run under the key before this one
+	done    bool
+	ok      bool
+	result  []byte
+	ended   time.Time
+	joined  []*task
+}
+
+// entry is what is known under one key.
+type entry struct {
+	key   string
+	held  *flight // in the hold, not run
+	last  *flight // the latest that was run
+	until time.Time
+	fresh bool // of a read: it serves others while it is under way and a little longer
+	size  int
+}
+
+// keyTable links the tries of a request. Keys are kept from a try's arrival; what has run stays for its whole
+// window, whatever is forgotten meanwhile. Its memory is bounded: at the bound new keys are turned away, since
+// to drop one would let its request run twice.
+type keyTable struct {
+	entries map[string]*entry
+	size    int
+	limit   int
+}
+
+func newKeyTable(limit int) keyTable {
+	return keyTable{entries: map[string]*entry{}, limit: max(limit, 64<<10)}
+}
+
+// enter looks up which run a request repeats, and enters it where it is the first of its key. It reports
+// whether there was room.
+func (k *keyTable) enter(t *task, freshFor time.Duration, now time.Time) bool {
+	var key string
+	switch {
+	case t.class.Effect == silverpath.Keyed && t.Key != "":
+		key = t.Class + "\x00" + t.Key
+	case t.class.Effect == silverpath.Safe && freshFor > 0 && t.Object != "":
+		key = t.Class + "\x01" + t.Object
+	default:
+		return true
+	}
+	e := k.entries[key]
+	if e != nil {
+		switch {
+		case e.fresh:
+			if f := e.last; f != nil && (!f.done || f.ok && now.Sub(f.ended) <= freshFor) {
+				t.repeats = f
+				return true
+			}
+		case e.held != nil:
+			t.repeats = e.held
+			return true
+		case e.last != nil && within(t.Reached, e.last.reached, t.class.KeyWindow):
+			t.repeats = e.last
+			return true
+		}
+	}
+	if k.size >= k.limit {
+		return false
+	}
+	if e == nil {
+		e = &entry{key: key, fresh: t.class.Effect == silverpath.Safe, size: entryBytes + len(key)}
+		k.entries[key] = e
+		k.size += e.size
+	}
+	e.until = later(e.until, t.Due.Add(keyLinger))
+	t.flight = &flight{id: t.ID, entry: e, reached: t.Reached}
+	if !e.fresh {
+		e.held = t.flight
+	}
+	return true
+}
+
+// within reports whether a try that reached the machine at one time falls into the window of one that ran.
+// It looks both ways, as a try may be read before one that reached the machine earlier.
+func within(reached, ran time.Time, window time.Duration) bool {
+	return reached.Sub(ran).Abs() <= window+ruleSlack
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// keep lets a read serve others from now on; keyed requests are kept from their arrival.
+func (k *keyTable) keep(t *task, d time.Duration) {
+	if f := t.flight; f != nil && f.entry.fresh && f.entry.held == nil {
+		k.supersede(f.entry)
+		f.entry.last = f
+		f.entry.until = later(f.entry.until, time.Now().Add(d))
+	}
+}
+
+// start notes that a request is run. It reports false where another try of it has run within the window.
+func (k *keyTable) start(t *task) bool {
+	if t.class.Effect != silverpath.Keyed || t.Key == "" {
+		return true
+	}
+	f := t.flight
+	if f == nil || f.entry.held != f {
+		return f != nil && f.entry.last == f
+	}
+	e := f.entry
+	if e.last != nil && within(f.reached, e.last.reached, t.class.KeyWindow) {
+		return false
+	}
+	k.supersede(e)
+	f.before = e.last
+	e.held, e.last = nil, f
+	// Until the last try written inside the window is past its due time, however late it is read.
+	e.until = later(e.until, f.reached.Add(t.class.KeyWindow+t.class.Deadline+keyLinger))
+	return true
+}
+
+// done notes how a run ended.
+func (k *keyTable) done(f *flight, o silverpath.Outcome, result []byte, now time.Time) {
+	if f == nil || f.done {
+		return
+	}
+	f.done, f.ok, f.ended = true, o == silverpath.OK, now
+	if o == silverpath.Ignored && f.entry.last == f && !f.entry.fresh {
+		f.entry.last = f.before // proof that it never ran: its next try may
+		return
+	}
+	if f.ok && f.entry.last == f {
+		f.result = result
+		f.entry.size += len(result)
+		k.size += len(result)
+	}
+}
+
+// supersede lets go of the result of what ran before.
+func (k *keyTable) supersede(e *entry) {
+	if e.last == nil {
+		return
+	}
+	e.size -= len(e.last.result)
+	k.size -= len(e.last.result)
+	e.last.result, e.last.ok, e.last.before = nil, false, nil
+}
+
+// drop forgets a flight that never ran; what has run under its key stays.
+func (k *keyTable) drop(f *flight) {
+	e := f.entry
+	if e.held == f {
+		e.held = nil
+	}
+	if e.fresh && e.last == f {
+		e.last = nil
+	}
+	if e.held == nil && e.last == nil && k.entries[e.key] == e {
+		k.remove(e)
+	}
+}
+
+func (k *keyTable) remove(e *entry) {
+	delete(k.entries, e.key)
+	k.size -= e.size
+}
+
+// sweep drops what is past its time and not in use.
+func (k *keyTable) sweep(now time.Time) {
+	for _, e := range k.entries {
+		if e.held == nil && (e.last == nil || e.last.done) && now.After(e.until) {
+			k.remove(e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/life.go
@@ -0,0 +1,393 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"silverpath"
+)
+
+// word is the one state word of a request's answer. It leaves owed once, under the lock, so that there is
+// exactly one answer whoever comes first: the module, the run, the due time or the caller's leaving.
+type word int
+
+const (
+	owed word = iota
+	answered
+	gone // its caller left; nothing is owed
+)
+
+// task is a request in hand.
+type task struct {
+	Request
+	class   silverpath.Class
+	word    word
+	ran     bool   // handed to the runner at least once
+	running bool   // and its end not seen yet
+	joining bool   // waits for the result of another try
+	ask     []byte // the body of the call that the run waits for
+	started time.Time
+	flight  *flight            // the run that this try is, or may become; keyed classes and kept reads
+	repeats *flight            // the run of another try that this one repeats
+	cancel  context.CancelFunc // gives up the call that is out
+	timer   *time.Timer
+
+	mail []step
+	bell chan struct{} // rung when mail comes
+}
+
+// step is what a request's goroutine does next.
+type step struct {
+	kind     stepKind
+	answer   Answer
+	patience time.Duration
+	outcome  silverpath.Outcome
+	data     []byte
+	spent    time.Duration
+}
+
+type stepKind int
+
+const (
+	toRun    stepKind = iota // chosen by the module
+	toCall                   // likewise
+	toAnswer                 // its one answer is settled
+	awaits                   // its run waits for a call
+	ended                    // its run, or its join, has ended
+	left                     // its caller has left
+	overdue                  // its due time has come
+	toRest                   // all is done
+)
+
+// post leaves a step for the request's goroutine; it is called under the core's lock.
+func (t *task) post(s step) {
+	t.mail = append(t.mail, s)
+	select {
+	case t.bell <- struct{}{}:
+	default:
+	}
+}
+
+// Serve is the life of one request, from its reading to its end. It calls the module at every point of choice
+// and does what the module chose. It returns when the request is answered and nothing of it runs; the reply
+// function is called at most once.
+func (c *Core) Serve(r Request, reply func(Answer)) {
+	t, refusal := c.arrive(r) // the module's choice: hold, run, join or refuse
+	if t == nil {
+		reply(refusal)
+		return
+	}
+	for {
+		switch s := c.next(t); s.kind {
+		case toRun:
+			c.runner.Run(t.ID, t.Class, t.Body)
+		case awaits:
+			t.ask = s.data
+			c.choose(func(m *silverpath.Shedder, now time.Duration) { m.NeedsCall(now, t.ID) })
+		case toCall:
+			outcome, result, spent := c.call(t, s.patience)
+			if outcome == silverpath.OK {
+				c.runner.Resume(t.ID, result)
+			}
+			c.choose(func(m *silverpath.Shedder, now time.Duration) { m.CallEnded(now, t.ID, outcome, spent) })
+		case ended:
+			c.end(t, s)
+		case left:
+			c.leave(t)
+		case overdue:
+			c.expire(t)
+		case toAnswer:
+			c.stats.Inc("answered", t.Front, t.Class, s.answer.Outcome.String())
+			reply(s.answer)
+			c.paid()
+		case toRest:
+			return
+		}
+	}
+}
+
+// choose is a point of choice: the module hears of an event, and what it then asks for is done.
+func (c *Core) choose(event func(m *silverpath.Shedder, now time.Duration)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decide(event)
+}
+
+// arrive takes a request in and tells the module. It returns nil, and the answer, for what the core itself
+// can't take: those bounds keep the process alive and are far from what the module allows.
+func (c *Core) arrive(r Request) (*task, Answer) {
+	c.stats.Inc("read", r.Front, r.Class)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	k, known := c.Class(r.Class)
+	full := Answer{Outcome: Refused, Wait: c.set.MaxAdvice}
+	why := ""
+	t := &task{Request: r, class: k, bell: make(chan struct{}, 1)}
+	switch {
+	case c.tasks[r.ID] != nil:
+		why, full = "same_id", Answer{Outcome: Failed}
+	case c.phase == Stopped || c.module == nil:
+		why = "stopped"
+	case len(c.tasks) >= c.maxTasks:
+		why = "too_many"
+	case !known:
+		why, full = "unknown_class", Answer{Outcome: Refused, Final: true}
+	case !c.keys.enter(t, c.set.FreshFor, now):
+		why = "keys_full"
+	}
+	if why != "" {
+		c.stats.Inc("turned_away", r.Front, why)
+		c.stats.Inc("answered", r.Front, r.Class, full.Outcome.String())
+		return nil, full
+	}
+	c.tasks[r.ID] = t
+	c.owed++
+	t.timer = time.AfterFunc(r.Due.Sub(now)-backstop, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if t.word == owed {
+			t.post(step{kind: overdue})
+		}
+	})
+	q := silverpath.Request{
+		ID: r.ID, Class: r.Class, Tenant: r.Tenant, Key: r.Object, Caller: r.Caller, HeldKB: r.HeldKB,
+		Unread: max(0, now.Sub(r.Reached)), Deadline: max(1, c.clock()+r.Due.Sub(now)), Rank: r.Rank,
+	}
+	if t.repeats != nil {
+		q.Repeats = t.repeats.id
+		c.stats.Inc("repeats", r.Front, r.Class)
+	}
+	c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Arrive(now, q) })
+	return t, Answer{}
+}
+
+// next waits for the request's next step.
+func (c *Core) next(t *task) step {
+	for {
+		c.mu.Lock()
+		if len(t.mail) > 0 {
+			s := t.mail[0]
+			t.mail = t.mail[1:]
+			c.mu.Unlock()
+			return s
+		}
+		rest := t.word != owed && !t.running && !t.joining
+		if rest {
+			t.timer.Stop()
+			c.release(t)
+			delete(c.tasks, t.ID)
+		}
+		c.mu.Unlock()
+		if rest {
+			return step{kind: toRest}
+		}
+		<-t.bell
+	}
+}
+
+// call makes the call that the module chose; the run's end gives it up.
+func (c *Core) call(t *task, patience time.Duration) (silverpath.Outcome, []byte, time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c.mu.Lock()
+	over := !t.running
+	t.cancel = cancel
+	c.mu.Unlock()
+	if over {
+		return silverpath.Ignored, nil, 0
+	}
+	if c.caller == nil {
+		return silverpath.Unreachable, nil, 0
+	}
+	began := time.Now()
+	outcome, result := c.caller.Call(ctx, t.ID, patience, t.ask)
+	c.stats.Inc("calls", outcomeNames[outcome])
+	return outcome, result, time.Since(began)
+}
+
+var outcomeNames = map[silverpath.Outcome]string{
+	silverpath.OK: "ok", silverpath.Failed: "failed", silverpath.Overloaded: "overloaded",
+	silverpath.TimedOut: "timed_out", silverpath.Unreachable: "unreachable",
+	silverpath.Disconnected: "disconnected", silverpath.Canceled: "canceled", silverpath.Ignored: "ignored",
+}
+
+// ---- What runners and fronts tell ----
+
+// Awaits is told when a run waits for a call with the given body.
+func (c *Core) Awaits(id string, body []byte) {
+	c.tell(id, step{kind: awaits, data: body})
+}
+
+// Ended is told how a run ended, with its result.
+func (c *Core) Ended(id string, o silverpath.Outcome, spent time.Duration, result []byte) {
+	c.tell(id, step{kind: ended, outcome: o, spent: spent, data: result})
+}
+
+// Gone is told when the caller of a request has left: no answer is owed any more.
+func (c *Core) Gone(id string) { c.tell(id, step{kind: left}) }
+
+func (c *Core) tell(id string, s step) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tasks[id]
+	if t == nil {
+		return
+	}
+	if s.kind == ended && t.cancel != nil {
+		t.cancel()
+	}
+	t.post(s)
+}
+
+// ---- Steps, under the lock ----
+
+// end settles a run, or a join. The result is the answer unless one was given, and it is kept for repeats.
+func (c *Core) end(t *task, s step) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !t.running && !t.joining {
+		return
+	}
+	wasJoin := t.joining
+	t.running, t.joining = false, false
+	if s.outcome == silverpath.Canceled && t.word == owed {
+		// Nothing stops a run here but its request being over: the caller has left and the notice is late.
+		c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Gone(now, t.ID) })
+	}
+	if !wasJoin {
+		c.stats.Inc("runs", t.Class, outcomeNames[s.outcome])
+		c.keys.done(t.flight, s.outcome, s.data, time.Now())
+		c.wakeJoined(t.flight)
+	}
+	if s.outcome == silverpath.OK {
+		c.answer(t, Answer{Outcome: Served, Body: s.data})
+	} else {
+		c.answer(t, Answer{Outcome: Failed})
+	}
+	c.decide(func(m *silverpath.Shedder, now time.Duration) { m.RunEnded(now, t.ID, s.outcome, s.spent) })
+}
+
+// leave notes that the caller has left. A keyed run goes on: a later try takes its result.
+func (c *Core) leave(t *task) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.word != owed {
+		return
+	}
+	c.stats.Inc("answered", t.Front, t.Class, "gone")
+	t.word = gone
+	if !t.ran {
+		c.release(t)
+	}
+	t.stopJoining()
+	c.owed--
+	c.settled()
+	c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Gone(now, t.ID) })
+}
+
+// expire is the backstop of rule one: whatever holds the module up, the answer goes out by the due time.
+func (c *Core) expire(t *task) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.word != owed {
+		return
+	}
+	c.log.Printf("backstop: %s %s is due and had no answer from the module", t.Class, t.ID)
+	c.stats.Inc("backstop")
+	c.answer(t, Answer{Outcome: Expired})
+	c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Gone(now, t.ID) })
+}
+
+// answer settles a request's one answer.
+func (c *Core) answer(t *task, a Answer) {
+	if t.word != owed {
+		return
+	}
+	t.word = answered
+	if !t.ran {
+		c.release(t)
+	}
+	t.stopJoining()
+	t.post(step{kind: toAnswer, answer: a})
+}
+
+// paid counts an answer that has been handed to its front's connection.
+func (c *Core) paid() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owed--
+	c.settled()
+}
+
+// run hands a request to the runner, once for those with an effect and never what the drain rule forbids. The
+// module keeps these rules; here they are kept once more from what the sockets alone tell, so that no mistake
+// between the two can run an effect twice.
+func (c *Core) run(t *task) {
+	why := ""
+	switch {
+	case t.running:
+		return
+	case t.word != owed:
+		why = "it is answered"
+	case t.ran && t.class.Effect != silverpath.Safe:
+		why = "it has run"
+	case c.phase >= Draining && t.Reached.After(c.drainedAt.Add(c.set.DrainGrace)):
+		why = "it came after the drain window"
+	case !c.keys.start(t):
+		why = "another try of it has run"
+	}
+	if why != "" {
+		c.log.Printf("guard: %s %s is not run: %s", t.Class, t.ID, why)
+		c.stats.Inc("guard")
+		t.running = true // for the end that follows
+		t.post(step{kind: ended, outcome: silverpath.Ignored})
+		return
+	}
+	t.ran, t.running, t.started = true, true, time.Now()
+	t.post(step{kind: toRun})
+}
+
+// join makes a request wait for the result of the run that it repeats, or takes it where it is there.
+func (c *Core) join(t *task) {
+	f := t.repeats
+	t.joining = true
+	switch {
+	case f == nil || f.done && !f.ok:
+		t.post(step{kind: ended, outcome: silverpath.Failed})
+	case f.done:
+		t.post(step{kind: ended, outcome: silverpath.OK, data: f.result})
+	default:
+		f.joined = append(f.joined, t)
+	}
+}
+
+// stopJoining ends a wait for another try: its answer is given or its caller gone.
+func (t *task) stopJoining() { t.joining = false }
+
+// wakeJoined tells those that wait for a run how it ended.
+func (c *Core) wakeJoined(f *flight) {
+	if f == nil {
+		return
+	}
+	for _, t := range f.joined {
+		out := silverpath.Failed
+		if f.ok {
+			out = silverpath.OK
+		}
+		t.post(step{kind: ended, outcome: out, data: f.result})
+	}
+	f.joined = nil
+}
+
+// release frees the key of a request that has not run; whoever joined it fails with it.
+func (c *Core) release(t *task) {
+	if t.ran || t.flight == nil {
+		return
+	}
+	f := t.flight
+	t.flight = nil
+	c.keys.drop(f)
+	f.done = true
+	c.wakeJoined(f)
+}
--- /dev/null
+++ b/internal/interp/interp.go
@@ -0,0 +1,360 @@
+// Package interp is the link to the interpreter, which does the work: JSON objects, one to each line. It keeps
+// the link open, takes up the notices where the last link ended, and starts anew what a broken link lost.
+package interp
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"silverpath"
+	"silverpath/internal/buf"
+	"silverpath/internal/settings"
+	"silverpath/internal/stats"
+)
+
+// Events is who hears of runs: the core.
+type Events interface {
+	Up()
+	Awaits(id string, body []byte)
+	Ended(id string, o silverpath.Outcome, spent time.Duration, result []byte)
+	Gauges(g silverpath.Gauges)
+}
+
+const (
+	longestLine  = 1 << 20
+	writeTimeout = 2 * time.Second
+	redialAfter  = 50 * time.Millisecond
+	slowestDial  = time.Second
+	syncRef      = "sync" // of the TOP whose answer shows that all earlier notices have been read
+)
+
+// Link runs requests on the interpreter. It is the core's Runner.
+type Link struct {
+	addr   string
+	gauges []string
+	events Events
+	log    *log.Logger
+	stats  *stats.Counters
+	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+
+	mu    sync.Mutex
+	jobs  map[string]*job // runs whose end was not read
+	queue []command       // to be written
+	bell  chan struct{}
+	live  bool // the notices missed by this link have all been read
+	last  int64
+}
+
+type job struct{ apply []byte }
+
+type command struct {
+	line    []byte
+	resolve bool
+}
+
+// New returns a link to the interpreter at addr; Keep holds it open.
+func New(addr string, gauges []string, events Events, l *log.Logger, s *stats.Counters) *Link {
+	return &Link{
+		addr: addr, gauges: gauges, events: events, log: l, stats: s, jobs: map[string]*job{},
+		bell: make(chan struct{}, 1), dial: (&net.Dialer{Timeout: slowestDial}).DialContext,
+	}
+}
+
+// object appends a JSON object, as a line, of strings by name.
+func object(pairs ...string) []byte {
+	var a fastjson.Arena
+	o := a.NewObject()
+	for i := 0; i < len(pairs); i += 2 {
+		o.Set(pairs[i], a.NewString(pairs[i+1]))
+	}
+	return append(o.MarshalTo(nil), '\n')
+}
+
+// Run starts a request. On a link that is down it is started once the next one is up.
+func (l *Link) Run(id, class string, body []byte) {
+	line := object("type", "APPLY", "job", id, "kind", class, "data", base64.StdEncoding.EncodeToString(body))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.jobs[id] = &job{apply: line}
+	if l.live {
+		l.send(command{line: line})
+	}
+}
+
+// Resume hands a run the reply to its call.
+func (l *Link) Resume(id string, reply []byte) {
+	line := object("type", "RESOLVE", "job", id, "data", base64.StdEncoding.EncodeToString(reply))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.jobs[id] != nil {
+		l.send(command{line, true})
+	}
+}
+
+// Probe asks for the gauges.
+func (l *Link) Probe() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.live {
+		l.send(command{line: object("type", "TOP", "ref", "tick")})
+	}
+}
+
+func (l *Link) send(c command) {
+	l.queue = append(l.queue, c)
+	select {
+	case l.bell <- struct{}{}:
+	default:
+	}
+}
+
+// Keep holds the link open until the context ends.
+func (l *Link) Keep(ctx context.Context) {
+	wait := redialAfter
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := l.connect(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		l.stats.Inc("interpreter", "link_down")
+		l.log.Printf("interpreter link down: %v", err)
+		if time.Since(began) > slowestDial {
+			wait = redialAfter
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, slowestDial)
+	}
+}
+
+// connect is the life of one link: CONNECT, then a writer beside the reading of notices until either fails.
+func (l *Link) connect(ctx context.Context) error {
+	conn, err := l.dial(ctx, "tcp", l.addr)
+	if err != nil {
+		return fmt.Errorf("connecting: %w", err)
+	}
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	l.mu.Lock()
+	hello := fmt.Appendf(nil, `{"type":"CONNECT","n":%d}`+"\n", l.last)
+	l.mu.Unlock()
+	if err := write(conn, hello); err != nil {
+		conn.Close()
+		return err
+	}
+	over, written := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(written)
+		l.write(conn, over)
+	}()
+	err = l.read(conn)
+	conn.Close()
+	close(over)
+	<-written
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.live = false
+	// What was not written goes out on the next link: replies as they are, runs by being started anew there.
+	kept := l.queue[:0]
+	for _, c := range l.queue {
+		if c.resolve {
+			kept = append(kept, c)
+		}
+	}
+	l.queue = kept
+	return err
+}
+
+func write(conn net.Conn, b []byte) error {
+	conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := conn.Write(b); err != nil {
+		return fmt.Errorf("writing: %w", err)
+	}
+	return nil
+}
+
+// write sends what is queued once the link is live, several commands at a time.
+func (l *Link) write(conn net.Conn, over <-chan struct{}) {
+	b := buf.Get()
+	defer buf.Put(b)
+	for {
+		select {
+		case <-over:
+			return
+		case <-l.bell:
+		}
+		for {
+			l.mu.Lock()
+			n := 0
+			*b = (*b)[:0]
+			for l.live && n < len(l.queue) && (n == 0 || len(*b)+len(l.queue[n].line) <= buf.Size) {
+				*b = append(*b, l.queue[n].line...)
+				n++
+			}
+			l.queue = l.queue[n:]
+			l.mu.Unlock()
+			if n == 0 {
+				break
+			}
+			if err := write(conn, *b); err != nil {
+				conn.Close() // the reader reports it
+				return
+			}
+		}
+	}
+}
+
+// read reads notices until the link fails.
+func (l *Link) read(conn net.Conn) error {
+	r := buf.Reader(conn)
+	defer buf.PutReader(r)
+	var p fastjson.Parser
+	var long []byte
+	for {
+		line, err := readLine(r, &long)
+		if err != nil {
+			return fmt.Errorf("reading: %w", err)
+		}
+		v, err := p.ParseBytes(line)
+		if err != nil {
+			return fmt.Errorf("a notice that is not JSON: %w", err)
+		}
+		if err := l.notice(conn, v); err != nil {
+			return err
+		}
+	}
+}
+
+// readLine returns a line, valid until the next call. It grows beyond the reader's buffer only for long ones.
+func readLine(r *bufio.Reader, long *[]byte) ([]byte, error) {
+	line, err := r.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	*long = (*long)[:0]
+	for {
+		*long = append(*long, line...)
+		if len(*long) > longestLine {
+			return nil, errors.New("a line without end")
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return *long, err
+		}
+		line, err = r.ReadSlice('\n')
+	}
+}
+
+var ends = map[string]silverpath.Outcome{
+	"PASS": silverpath.OK, "FAIL": silverpath.Failed, "KILLED": silverpath.Canceled, "NOOP": silverpath.Ignored,
+}
+
+// notice takes one notice. What a former link has brought already is passed over by its number.
+func (l *Link) notice(conn net.Conn, v *fastjson.Value) error {
+	kind, id := string(v.GetStringBytes("type")), string(v.GetStringBytes("job"))
+	if v.Exists("n") && kind != "BANNER" {
+		n := v.GetInt64("n")
+		l.mu.Lock()
+		old := n <= l.last
+		l.last = max(l.last, n)
+		l.mu.Unlock()
+		if old {
+			return nil
+		}
+	}
+	var data []byte
+	if d := v.GetStringBytes("data"); len(d) > 0 {
+		data = make([]byte, base64.StdEncoding.DecodedLen(len(d)))
+		n, err := base64.StdEncoding.Decode(data, d)
+		if err != nil {
+			return fmt.Errorf("%s: data: %w", kind, err)
+		}
+		data = data[:n]
+	}
+	switch kind {
+	case "BANNER":
+		l.log.Printf("interpreter up: %s, started %d ms ago", v.GetStringBytes("state"), v.GetInt64("took"))
+		return write(conn, object("type", "TOP", "ref", syncRef))
+	case "TOPS":
+		if string(v.GetStringBytes("ref")) == syncRef {
+			l.resume()
+			l.events.Up()
+		}
+		l.readings(v.GetArray("gauges"))
+	case "AWAIT":
+		l.events.Awaits(id, data)
+	case "VALUE":
+		o, ok := ends[string(v.GetStringBytes("state"))]
+		if !ok {
+			return fmt.Errorf("VALUE: state: unknown: %q", v.GetStringBytes("state"))
+		}
+		l.ended(id, o, time.Duration(v.GetFloat64("took")*float64(time.Millisecond)), data)
+	case "ERROR":
+		command := string(v.GetStringBytes("state"))
+		l.stats.Inc("interpreter", "error", command)
+		l.log.Printf("interpreter refused %s of %s", command, id)
+		if id != "" {
+			l.ended(id, silverpath.Failed, 0, nil)
+		}
+	case "TRACE":
+	default:
+		l.stats.Inc("interpreter", "unknown_notice")
+	}
+	return nil
+}
+
+// resume makes a link live: every notice of former links has been read, so a run without an end either goes on
+// there, and starting it again does nothing, or its start was lost.
+func (l *Link) resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.live = true
+	if len(l.jobs) > 0 {
+		l.log.Printf("interpreter link live again with %d runs", len(l.jobs))
+	}
+	replies := l.queue
+	l.queue = nil
+	for _, j := range l.jobs {
+		l.queue = append(l.queue, command{line: j.apply})
+	}
+	l.queue = append(l.queue, replies...)
+	l.send(command{line: object("type", "TOP", "ref", "tick")})
+}
+
+func (l *Link) ended(id string, o silverpath.Outcome, spent time.Duration, result []byte) {
+	l.mu.Lock()
+	known := l.jobs[id] != nil
+	delete(l.jobs, id)
+	l.mu.Unlock()
+	if known {
+		l.events.Ended(id, o, spent, result)
+	}
+}
+
+func (l *Link) readings(values []*fastjson.Value) {
+	if len(values) < len(l.gauges) {
+		l.stats.Inc("interpreter", "short_gauges")
+		return
+	}
+	numbers := make([]float64, len(values))
+	for i, v := range values {
+		n, err := strconv.ParseFloat(v.String(), 64)
+		if err != nil || n != n || n < 0 {
+			l.stats.Inc("interpreter", "bad_gauge")
+			return
+		}
+		numbers[i] = n
+	}
+	l.events.Gauges(settings.Gauges(l.gauges, numbers))
+}
--- /dev/null
+++ b/internal/msgpackrpc/front.go
@@ -0,0 +1,270 @@
+// Package msgpackrpc is the platform's front: MessagePack-RPC over TCP. It parses, maps and writes; what
+// becomes of a request is the core's and the module's.
+package msgpackrpc
+
+import (
+	"errors"
+	"io"
+	"log"
+	"math"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"silverpath/internal/buf"
+	"silverpath/internal/core"
+	"silverpath/internal/front"
+	"silverpath/internal/stats"
+)
+
+// Name is the front's name in counters and log lines.
+const Name = "msgpack"
+
+const (
+	probe    = "probe"
+	giveUp   = "giveUp"
+	lastCall = "lastCall"
+	full     = "Full"
+	failed   = "Error"
+
+	mostOpen     = 64 // requests on a connection; balancers keep to half of that
+	wholeTimeout = 10 * time.Second
+	writeTimeout = 2 * time.Second
+)
+
+// Front serves balancers.
+type Front struct {
+	core  *core.Core
+	log   *log.Logger
+	stats *stats.Counters
+}
+
+// New returns the front of a core.
+func New(c *core.Core, l *log.Logger, s *stats.Counters) *Front { return &Front{c, l, s} }
+
+// client is one connection of a balancer.
+type client struct {
+	*Front
+	conn net.Conn
+	slot *front.Slot
+
+	mu     sync.Mutex
+	open   map[uint64]string // request ids by message id
+	called bool              // lastCall was sent
+	broken bool
+
+	writing sync.Mutex
+}
+
+// Serve is the life of one connection.
+func (f *Front) Serve(conn net.Conn, slot *front.Slot) {
+	c := &client{Front: f, conn: conn, slot: slot, open: map[uint64]string{}}
+	slot.OnLeave(c.lastCall)
+	r := buf.Reader(conn)
+	defer buf.PutReader(r)
+	d := decoder{r}
+	var requests sync.WaitGroup
+	var err error
+	for err == nil {
+		if _, err = r.Peek(1); err != nil {
+			break
+		}
+		conn.SetReadDeadline(time.Now().Add(wholeTimeout))
+		var m message
+		if m, err = d.message(); err != nil {
+			break
+		}
+		conn.SetReadDeadline(time.Time{})
+		err = c.take(m, &requests)
+	}
+	switch {
+	case err == io.EOF: // the other side may still read: what it asked is answered
+	case errors.Is(err, errMalformed) || errors.Is(err, io.ErrUnexpectedEOF):
+		f.stats.Inc("malformed", Name)
+		f.log.Printf("%s: closing the connection of %v: %v", Name, conn.RemoteAddr(), err)
+		c.fail()
+	default:
+		c.fail()
+	}
+	requests.Wait()
+	conn.Close()
+}
+
+// take does what one message asks.
+func (c *client) take(m message, requests *sync.WaitGroup) error {
+	switch {
+	case m.kind == notification:
+		if m.method == giveUp {
+			c.stats.Inc("give_up", Name)
+			c.mu.Lock()
+			id := c.open[m.id]
+			delete(c.open, m.id)
+			c.slot.Open(len(c.open))
+			c.mu.Unlock()
+			if id != "" {
+				c.core.Gone(id)
+			}
+		}
+		return nil
+	case m.method == probe:
+		c.stats.Inc("probes", Name)
+		c.write(func(b []byte) []byte { return appendProbe(b, m.id, c.core.Health(), c.signal(nil)) })
+		return nil
+	}
+	r, problem := mapRequest(m, time.Now(), c.core)
+	c.mu.Lock()
+	if _, twice := c.open[m.id]; twice {
+		c.mu.Unlock()
+		return malformed("message id %d given twice", m.id)
+	}
+	many := len(c.open) >= mostOpen
+	if problem == "" && !many {
+		c.open[m.id] = r.ID
+		c.slot.Open(len(c.open))
+	}
+	c.mu.Unlock()
+	switch {
+	case problem != "":
+		c.stats.Inc("bad_field", Name, problem)
+		c.reply(m.id, core.Answer{Outcome: core.Failed})
+	case many:
+		c.stats.Inc("turned_away", Name, "too_many_open")
+		c.reply(m.id, core.Answer{Outcome: core.Refused, Wait: c.core.Advice()})
+	default:
+		requests.Add(1)
+		go func() {
+			defer requests.Done()
+			c.core.Serve(r, func(a core.Answer) { c.reply(m.id, a) })
+		}()
+	}
+	return nil
+}
+
+// fail gives up the connection: nobody can be answered on it any more.
+func (c *client) fail() {
+	c.conn.Close()
+	c.mu.Lock()
+	ids := c.open
+	c.open, c.broken = map[uint64]string{}, true
+	c.slot.Open(0)
+	c.mu.Unlock()
+	for _, id := range ids {
+		c.core.Gone(id)
+	}
+}
+
+// mapRequest reads the fields of a request. The problem names the first field that is no good.
+func mapRequest(m message, now time.Time, c *core.Core) (r core.Request, problem string) {
+	f := m.fields
+	stamp, err := strconv.ParseInt(f["s"], 10, 64)
+	if err != nil || stamp < 0 || stamp > math.MaxInt64/int64(time.Millisecond) {
+		return r, "s"
+	}
+	wait, err := strconv.ParseInt(f["d"], 10, 64)
+	switch k, known := c.Class(m.method); {
+	case f["d"] == "" && known:
+		wait = k.Deadline.Milliseconds()
+	case err != nil || wait < 0 || wait > 1<<31:
+		return r, "d"
+	}
+	held, err := strconv.ParseFloat(f["m"], 64)
+	if err != nil || !(held > 0 && held < 2000) {
+		return r, "m"
+	}
+	if f["i"] == "" {
+		return r, "i"
+	}
+	rank, err := strconv.ParseFloat(f["p"], 64)
+	if f["p"] != "" && (err != nil || !(rank >= 0 && rank < 1)) {
+		return r, "p"
+	}
+	caller, err := strconv.Atoi(f["f"])
+	if f["f"] != "" && err != nil {
+		return r, "f"
+	}
+	reached := time.UnixMilli(stamp)
+	return core.Request{
+		Front: Name, ID: f["i"], Class: m.method, Tenant: f["t"], Key: f["k"], Object: f["o"],
+		Caller: caller, HeldKB: held, Rank: rank, Body: m.body,
+		Reached: reached, Due: reached.Add(time.Duration(wait) * time.Millisecond),
+	}, ""
+}
+
+// signal appends the free value, where the module has set one.
+func (c *client) signal(pairs []string) []string {
+	if v, ok := c.core.Signal(); ok {
+		pairs = append(pairs, "v", strconv.FormatFloat(v, 'f', -1, 64))
+	}
+	return pairs
+}
+
+// reply writes a request's answer.
+func (c *client) reply(id uint64, a core.Answer) {
+	c.mu.Lock()
+	delete(c.open, id)
+	c.slot.Open(len(c.open))
+	c.mu.Unlock()
+	c.write(func(b []byte) []byte { return appendAnswer(b, id, a, c.signal(nil)) })
+}
+
+func appendAnswer(b []byte, id uint64, a core.Answer, fields []string) []byte {
+	b = appendUint(appendUint(appendArray(b, 4), uint64(response)), id)
+	switch a.Outcome {
+	case core.Served:
+		b = appendArray(appendNil(b), 2)
+		return appendFields(appendBin(b, a.Body), fields)
+	case core.Refused:
+		if a.Wait > 0 {
+			fields = append(fields, "w", strconv.FormatInt(max(1, a.Wait.Milliseconds()), 10))
+		}
+		if a.Final {
+			fields = append(fields, "l", "1")
+		}
+		b = appendText(appendArray(b, 2), full)
+	default:
+		b = appendText(appendArray(b, 2), failed)
+	}
+	return appendNil(appendFields(b, fields))
+}
+
+func appendProbe(b []byte, id uint64, good bool, fields []string) []byte {
+	b = appendUint(appendUint(appendArray(b, 4), uint64(response)), id)
+	return appendFields(appendBool(appendArray(appendNil(b), 2), good), fields)
+}
+
+// lastCall tells the balancer to bring no more on this connection; it closes it once all is answered.
+func (c *client) lastCall() {
+	c.mu.Lock()
+	called := c.called
+	c.called = true
+	c.mu.Unlock()
+	if !called {
+		c.write(func(b []byte) []byte {
+			return appendArray(appendText(appendUint(appendArray(b, 3), uint64(notification)), lastCall), 0)
+		})
+	}
+}
+
+// write writes one message. A peer that takes nothing for writeTimeout loses its connection.
+func (c *client) write(message func([]byte) []byte) {
+	b := buf.Get()
+	defer buf.Put(b)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.mu.Lock()
+	broken := c.broken
+	c.mu.Unlock()
+	if broken {
+		return
+	}
+	*b = message(*b)
+	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := c.conn.Write(*b); err != nil {
+		c.stats.Inc("write_failed", Name)
+		c.mu.Lock()
+		c.broken = true
+		c.mu.Unlock()
+		c.conn.Close() // the reader gives up what is open
+	}
+}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,239 @@
+// Package service puts the parts together and leads them from start to exit.
+package service
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"silverpath/internal/announce"
+	"silverpath/internal/core"
+	"silverpath/internal/front"
+	"silverpath/internal/interp"
+	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/settings"
+	"silverpath/internal/stats"
+	"silverpath/internal/vault"
+)
+
+const (
+	heapShare = 0.6 // of the memory limit: at which the collector works harder rather than let the heap grow
+	spareFDs  = 24  // descriptors for logs, listeners, the links and the runtime
+	// exitBefore is how long before the process is stopped it has left. The module answers what is left 100 ms
+	// before that time.
+	exitBefore = 60 * time.Millisecond
+	// listenOn is how long after the notice to leave new connections are still taken: see Run.
+	listenOn = 50 * time.Millisecond
+	// settle is for what may still be under way on the connections when everything read has been answered.
+	settle = 100 * time.Millisecond
+)
+
+// Budget is how the descriptors are shared out.
+type Budget struct{ Platform, SCGI, Vault, Upstream int }
+
+// budget shares out the descriptors, those that the configuration needs.
+func budget(c settings.Config) Budget {
+	n := max(8, c.Sockets-spareFDs)
+	b := Budget{Platform: n * 3 / 5, Vault: n / 4, Upstream: n / 4}
+	if c.SCGI.Listen != "" {
+		b.SCGI = n / 4
+		b.Platform = n * 2 / 5
+	}
+	if c.Listen == "" {
+		b.SCGI, b.Platform = b.SCGI+b.Platform, 0
+	}
+	return b
+}
+
+// Service is one running service.
+type Service struct {
+	cfg       settings.Config
+	log       *log.Logger
+	stats     *stats.Counters
+	core      *core.Core
+	listeners []*front.Listener
+	keep      []func(context.Context)
+}
+
+// New builds a service and opens its addresses.
+func New(cfg settings.Config, l *log.Logger) (*Service, error) {
+	s := &Service{cfg: cfg, log: l, stats: &stats.Counters{}}
+	var err error
+	s.core, err = core.New(core.Config{Settings: cfg.Server, MemoryMB: cfg.MemoryMB, Log: l, Stats: s.stats})
+	if err != nil {
+		return nil, err
+	}
+	b := budget(cfg)
+	var runner core.Runner
+	{
+		link := interp.New(cfg.VM, cfg.Gauges, s.core, l, s.stats)
+		s.keep = append(s.keep, link.Keep)
+		runner = link
+	}
+	var below core.Caller
+	if cfg.Vault != "" {
+		below = vault.New(cfg.Vault, b.Vault)
+	}
+	if err := s.core.Attach(runner, below); err != nil {
+		return nil, err
+	}
+	if cfg.Listen != "" {
+		f := msgpackrpc.New(s.core, l, s.stats)
+		if err := s.listen("listen", msgpackrpc.Name, cfg.Listen, b.Platform, f.Serve); err != nil {
+			return nil, err
+		}
+	}
+	if cfg.Announce != "" {
+		s.keep = append(s.keep, func(ctx context.Context) {
+			if err := announce.Keep(ctx, cfg.Announce, cfg.Name, s.core.Health); err != nil {
+				l.Printf("not announced: %v", err)
+			}
+		})
+	}
+	return s, nil
+}
+
+func (s *Service) listen(field, name, addr string, most int, handle front.Handler) error {
+	ln, err := front.Listen(name, addr, most, s.core.IdleAfter, handle, s.log, s.stats)
+	if err != nil {
+		for _, l := range s.listeners {
+			l.Close()
+		}
+		return fmt.Errorf("%s: %w", field, err)
+	}
+	s.listeners = append(s.listeners, ln)
+	return nil
+}
+
+// Addrs are the addresses listened on, in the order platform, SCGI.
+func (s *Service) Addrs() []net.Addr {
+	var list []net.Addr
+	for _, l := range s.listeners {
+		list = append(list, l.Addr())
+	}
+	return list
+}
+
+// Stats are the service's counters.
+func (s *Service) Stats() *stats.Counters { return s.stats }
+
+// Run serves until a notice to leave comes on the channel, then drains. It returns when everything is answered
+// and no peer is left, or when the process is about to be stopped.
+func (s *Service) Run(leave <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, keep := range s.keep {
+		go keep(ctx)
+	}
+	for _, l := range s.listeners {
+		go l.Serve()
+	}
+	<-leave
+	return s.drain()
+}
+
+// drain leads from the notice to the end. Peers are asked to leave at once, and new connections are taken only
+// for as long as one may already be under way: a refused connection proves that nothing ran, so its caller
+// goes elsewhere without a request having cost a reading here.
+func (s *Service) drain() error {
+	began := time.Now()
+	s.core.Drain(s.cfg.Stop)
+	for _, l := range s.listeners {
+		l.Drain()
+	}
+	time.Sleep(min(listenOn, s.cfg.Stop/4))
+	for _, l := range s.listeners {
+		l.Close()
+	}
+	end := time.NewTimer(s.cfg.Stop - exitBefore - time.Since(began))
+	defer end.Stop()
+	tick := time.NewTicker(settle)
+	defer tick.Stop()
+	quiet := 0
+	for quiet < 2 {
+		select {
+		case <-end.C:
+			if n := s.core.Owed(); n > 0 {
+				s.core.Stop()
+				return fmt.Errorf("drain: %d requests were not answered before the end", n)
+			}
+			quiet = 2
+		case <-tick.C:
+			quiet++
+			if s.core.Owed() > 0 || s.connections() > 0 {
+				quiet = 0
+			}
+		}
+	}
+	s.core.Stop()
+	return nil
+}
+
+func (s *Service) connections() int {
+	n := 0
+	for _, l := range s.listeners {
+		n += l.Connections()
+	}
+	return n
+}
+
+// Main runs a service in this process: its limits, its signals and its last words.
+func Main(cfg settings.Config, signals <-chan os.Signal, out io.Writer) error {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(cfg.MemoryMB * heapShare * (1 << 20)))
+	l := log.New(out, "", log.Lmicroseconds|log.LUTC)
+	s, err := New(cfg, l)
+	if err != nil {
+		return err
+	}
+	for _, a := range s.Addrs() {
+		l.Printf("listening on %v", a)
+	}
+	leave := make(chan struct{})
+	go func() {
+		left := false
+		for sig := range signals {
+			switch {
+			case sig == syscall.SIGUSR1:
+				s.stats.Print(out)
+			case !left:
+				l.Printf("told to leave: %v", sig)
+				left = true
+				close(leave)
+			}
+		}
+	}()
+	err = s.Run(leave)
+	s.stats.Print(out)
+	l.Printf("exit")
+	return err
+}
+
+// Describe says, for a person, what a configuration sets up.
+func Describe(c settings.Config) string {
+	b := budget(c)
+	s := fmt.Sprintf("%s: ok, %d classes, %d cores, %.0f MB, %d descriptors, stops within %v\n",
+		c.Name, len(c.Server.Classes), c.Server.Cores, c.MemoryMB, c.Sockets, c.Stop)
+	for _, part := range []struct {
+		what, addr string
+		most       int
+	}{
+		{"MessagePack-RPC front", c.Listen, b.Platform}, {"SCGI front", c.SCGI.Listen, b.SCGI},
+		{"interpreter", c.VM, 1}, {"SCGI application server", c.SCGI.Upstream, b.Upstream},
+		{"vault", c.Vault, b.Vault}, {"announce service", c.Announce, 1},
+	} {
+		if part.addr == "" {
+			s += fmt.Sprintf("  %s: off\n", part.what)
+		} else {
+			s += fmt.Sprintf("  %s: %s, at most %d connections\n", part.what, part.addr, part.most)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/settings/config.go
@@ -0,0 +1,171 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"silverpath"
+)
+
+// Config is what one service is told of its place. The module's part of it is the module's own type.
+type Config struct {
+	Name     string
+	Listen   string        // where balancers connect; empty: no such front
+	VM       string        // the interpreter
+	Announce string        // the announce service; empty: none
+	Vault    string        // what lies below; empty in the last tier
+	Seed     int64         // for random numbers
+	Stop     time.Duration // from the notice to leave to the end of the process
+	MemoryMB float64
+	Sockets  int
+	SCGI     SCGI
+	Server   silverpath.Settings
+	Gauges   []string // the order of the gauges
+}
+
+// SCGI sets up the second front and the second runner; both are off while their address is empty.
+type SCGI struct {
+	Listen   string // where web fronts connect
+	Upstream string // an application server that does the work in place of the interpreter
+	MaxBody  int
+	Class    string        // for requests that name none; empty: the path's first part names it
+	Tenant   string        // likewise
+	Deadline time.Duration // likewise; 0: the class's own
+	HeldKB   float64       // memory booked for a held request
+}
+
+// Load reads the configuration file and lets LB_NAME and LB_LISTEN stand in for what it leaves out.
+func Load(path string) (Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	c, err := ParseConfig(data, os.Getenv("LB_NAME"), os.Getenv("LB_LISTEN"))
+	if err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// ParseConfig reads a configuration; name and listen stand in for what it leaves out.
+func ParseConfig(data []byte, name, listen string) (Config, error) {
+	v, err := fastjson.ParseBytes(data)
+	if err != nil {
+		return Config{}, fmt.Errorf("not JSON: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return Config{}, errors.New("not a JSON object")
+	}
+	f := fields{"", v, &err}
+	limits, s := f.object("limits"), f.object("scgi")
+	c := Config{
+		Name: f.text("name"), Listen: f.text("listen"), VM: f.text("vm"), Announce: f.text("announce"),
+		Vault: f.text("vault"), Stop: time.Duration(f.integer("stop_ms")) * time.Millisecond,
+		MemoryMB: limits.number("memory_mb"), Sockets: int(limits.integer("sockets")),
+		SCGI: SCGI{
+			Listen: s.text("listen"), Upstream: s.text("upstream"), MaxBody: int(s.integer("max_body")),
+			Class: s.text("class"), Tenant: s.text("tenant"),
+			Deadline: time.Duration(s.integer("deadline_ms")) * time.Millisecond, HeldKB: s.number("held_kb"),
+		},
+	}
+	c.Server, c.Gauges = read(f.object("settings"))
+	seed := f.text("seed")
+	if err != nil {
+		return c, err
+	}
+	if seed != "" {
+		n, err := strconv.ParseUint(seed, 16, 64)
+		if err != nil {
+			return c, fmt.Errorf("seed: not a hexadecimal number: %q", seed)
+		}
+		c.Seed = int64(n)
+	}
+	c.Server.Seed = c.Seed
+	if c.Name == "" {
+		c.Name = name
+	}
+	if c.Listen == "" {
+		c.Listen = listen
+	}
+	return c, c.complete(v)
+}
+
+// complete sets defaults and names the first field that no service can do with.
+func (c *Config) complete(v *fastjson.Value) error {
+	for _, a := range []struct {
+		field, addr string
+		required    bool
+	}{
+		{"listen", c.Listen, c.SCGI.Listen == ""}, {"vm", c.VM, c.SCGI.Upstream == ""},
+		{"announce", c.Announce, false}, {"vault", c.Vault, false},
+		{"scgi.listen", c.SCGI.Listen, false}, {"scgi.upstream", c.SCGI.Upstream, false},
+	} {
+		if a.addr == "" && !a.required {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return fmt.Errorf("%s: not an address and port: %q", a.field, a.addr)
+		}
+	}
+	switch {
+	case c.Name == "":
+		return errors.New("name: missing")
+	case !v.Exists("settings"):
+		return errors.New("settings: missing")
+	case v.Exists("stop_ms") && c.Stop <= 0:
+		return fmt.Errorf("stop_ms: not above 0: %v", v.Get("stop_ms"))
+	case v.Exists("limits", "memory_mb") && c.MemoryMB < 16:
+		return fmt.Errorf("limits.memory_mb: under 16: %v", c.MemoryMB)
+	case v.Exists("limits", "sockets") && c.Sockets < 32:
+		return fmt.Errorf("limits.sockets: under 32: %v", c.Sockets)
+	case c.SCGI.MaxBody < 0:
+		return fmt.Errorf("scgi.max_body: negative: %v", c.SCGI.MaxBody)
+	case c.SCGI.Deadline < 0:
+		return fmt.Errorf("scgi.deadline_ms: negative: %v", c.SCGI.Deadline.Milliseconds())
+	case !(c.SCGI.HeldKB >= 0 && c.SCGI.HeldKB < 2000):
+		return fmt.Errorf("scgi.held_kb: not from 0 to 2000: %v", c.SCGI.HeldKB)
+	}
+	if c.Stop == 0 {
+		c.Stop = 3 * time.Second
+	}
+	if c.MemoryMB == 0 {
+		c.MemoryMB = 192
+	}
+	if c.Sockets == 0 {
+		c.Sockets = 1024
+	}
+	if c.SCGI.MaxBody == 0 {
+		c.SCGI.MaxBody = 2048
+	}
+	if c.SCGI.HeldKB == 0 {
+		c.SCGI.HeldKB = 32
+	}
+	if _, err := silverpath.New(0, c.Server, silent{}); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	return nil
+}
+
+// silent is a host for a module that is only asked whether it takes its settings.
+type silent struct{}
+
+func (silent) Run(string)                         {}
+func (silent) Refuse(string, time.Duration, bool) {}
+func (silent) Fail(string)                        {}
+func (silent) Join(string)                        {}
+func (silent) Stop(string)                        {}
+func (silent) Call(string, time.Duration)         {}
+func (silent) SkipCall(string)                    {}
+func (silent) KeepKey(string, time.Duration)      {}
+func (silent) ForgetKey(string)                   {}
+func (silent) Health(bool)                        {}
+func (silent) Signal(float64)                     {}
+func (silent) CloseIdle(time.Duration)            {}
+func (silent) Wake(time.Duration)                 {}
+func (silent) Log(string)                         {}
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,59 @@
+// Package stats counts what the service takes in, sends and answers. It belongs to no wire: every front, the
+// signal handler and any agent that reports figures read the same counters.
+package stats
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Counters is a set of named counters. The zero value is ready; it is safe for concurrent use.
+type Counters struct {
+	mu sync.Mutex
+	n  map[string]uint64
+}
+
+// name joins the parts of a counter's name. A part may come off the wire, so blanks in it are replaced.
+func name(parts []string) string {
+	return strings.Join(strings.Fields(strings.Join(parts, ".")), "_")
+}
+
+// Add adds to the counter with the given parts of a name, such as front, class and outcome.
+func (c *Counters) Add(n uint64, parts ...string) {
+	key := name(parts)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.n == nil {
+		c.n = map[string]uint64{}
+	}
+	c.n[key] += n
+}
+
+// Inc adds 1.
+func (c *Counters) Inc(parts ...string) { c.Add(1, parts...) }
+
+// Get returns a counter's value, 0 for one never added to.
+func (c *Counters) Get(parts ...string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n[name(parts)]
+}
+
+// Snapshot returns a copy of all counters.
+func (c *Counters) Snapshot() map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.n)
+}
+
+// Print writes every counter, a line each, in the order of their names.
+func (c *Counters) Print(w io.Writer) {
+	all := c.Snapshot()
+	for _, key := range slices.Sorted(maps.Keys(all)) {
+		fmt.Fprintf(w, "counter %s %d\n", key, all[key])
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"silverpath"
+	"silverpath/internal/settings"
 )
 
 // A message is one line, split into its name and values.
@@ -177,24 +178,16 @@
 		d.fail("metrics", "fewer values than gauges")
 		return g
 	}
-	for i, name := range names {
+	readings := make([]float64, len(names))
+	for i := range names {
 		v, err := strconv.ParseFloat(values[i], 64)
 		if err != nil || v != v {
 			d.fail("metrics", "not a number: "+strconv.Quote(values[i]))
 			return g
 		}
-		switch name {
-		case "core_use":
-			g.CPU = v
-		case "on_cores":
-			g.OnCores = v
-		case "heap_share":
-			g.Memory = v
-		case "links":
-			g.Connections = v
-		}
+		readings[i] = v
 	}
-	return g
+	return settings.Gauges(names, readings)
 }
 
 // Serve reads batches from in until its end and writes a reply to each. The error tells the line and the
@@ -366,15 +359,15 @@
 
 func (s *server) launch(who int64, d *decoder) {
 	salt := d.integer("salt", false)
-	settings, gauges, err := parseSettings(d.text("params"))
+	set, gauges, err := settings.Parse(d.text("params"))
 	if err != nil {
 		d.fail("params", err.Error())
 	}
 	if d.err != nil {
 		return
 	}
-	settings.Seed = salt
-	shedder, err := silverpath.New(s.now, settings, &host{s, who})
+	set.Seed = salt
+	shedder, err := silverpath.New(s.now, set, &host{s, who})
 	if err != nil {
 		d.fail("params", err.Error())
 		return
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,13 +7,13 @@
 	"testing"
 )
 
-const settings = `{"classes":[{"name":"read","target":1000000,"deadline":3000000,"worth":1,"effect":"pure"},` +
+const params = `{"classes":[{"name":"read","target":1000000,"deadline":3000000,"worth":1,"effect":"pure"},` +
 	`{"name":"pay","target":1000000,"deadline":3000000,"worth":3,"effect":"token","memory_span":9000000}],` +
 	`"family_info":{"below":"none","cpus":2,"memory_kb":10000,"run_factor":4,"key_kb":5,"say":"none",` +
 	`"preemption":"pause","gauges":["core_use","on_cores","heap_share","links"]},` +
 	`"rules":{"fall_multiple":6,"overload_for":2000000,"drain_grace":1000000},"unknown_key":[1]}`
 
-const launch = "CLOCK\tsim_time=1000\nSELECT\twho=3\nLAUNCH\tsalt=7\tparams=" + settings + "\nGO\n"
+const launch = "CLOCK\tsim_time=1000\nSELECT\twho=3\nLAUNCH\tsalt=7\tparams=" + params + "\nGO\n"
 
 func serve(t *testing.T, in string) (string, error) {
 	t.Helper()
@@ -63,9 +63,9 @@
 		"clock moves backwards": {launch + "CLOCK\tsim_time=5\nGO\n", "field sim_time: moved backwards"},
 		"settings not JSON":     {"CLOCK\tsim_time=1\nSELECT\twho=3\nLAUNCH\tparams={\nGO\n", "field params"},
 		"impossible settings": {"CLOCK\tsim_time=1\nSELECT\twho=3\nLAUNCH\tparams=" +
-			strings.Replace(settings, `"cpus":2`, `"cpus":0`, 1) + "\nGO\n", "Cores"},
+			strings.Replace(params, `"cpus":2`, `"cpus":0`, 1) + "\nGO\n", "Cores"},
 		"list that does not fit": {"CLOCK\tsim_time=1\nSELECT\twho=3\nLAUNCH\tparams=" +
-			strings.Replace(settings, `"cpus":2`, `"cpus":2,"worth_without":[1]`, 1) + "\nGO\n", "worth_without"},
+			strings.Replace(params, `"cpus":2`, `"cpus":2,"worth_without":[1]`, 1) + "\nGO\n", "worth_without"},
 	} {
 		_, err := serve(t, c.in)
 		if err == nil || !strings.Contains(err.Error(), c.want) {
@@ -118,7 +118,7 @@
 	var in strings.Builder
 	in.WriteString("CLOCK\tsim_time=1000\n")
 	for i := range 1500 {
-		fmt.Fprintf(&in, "SELECT\twho=%d\nLAUNCH\tsalt=%d\tparams=%s\n", i, i, settings)
+		fmt.Fprintf(&in, "SELECT\twho=%d\nLAUNCH\tsalt=%d\tparams=%s\n", i, i, params)
 	}
 	in.WriteString("GO\nCLOCK\tsim_time=2000\n")
 	for i := range 1500 {
