--- /dev/null
+++ b/internal/msgpackrpc/client.go
@@ -0,0 +1,105 @@
+package msgpackrpc
+
+import "bufio"
+
+// This file is the other end of the wire, as a balancer has it. The stand-in callers of the tests use it.
+
+// Reply is what a balancer reads: an answer, the answer to a probe, or a notification.
+type Reply struct {
+	ID           uint64
+	Notification string
+	Error        string // empty: served, or a probe's answer
+	Body         []byte
+	Good         bool // of a probe
+	Fields       map[string]string
+}
+
+// AppendRequest appends a request as a balancer sends it, with its fields given as name and value in turn.
+func AppendRequest(b []byte, id uint64, class string, body []byte, fields ...string) []byte {
+	b = appendUint(appendUint(appendArray(b, 4), uint64(request)), id)
+	b = appendArray(appendText(b, class), 2)
+	return appendBin(appendFields(b, fields), body)
+}
+
+// AppendProbe appends a health check.
+func AppendProbe(b []byte, id uint64) []byte {
+	b = appendUint(appendUint(appendArray(b, 4), uint64(request)), id)
+	return appendFields(appendArray(appendText(b, probe), 1), nil)
+}
+
+// AppendGiveUp appends the notice that nobody waits for a request any more.
+func AppendGiveUp(b []byte, id uint64) []byte {
+	b = appendText(appendUint(appendArray(b, 3), uint64(notification)), giveUp)
+	return appendUint(appendArray(b, 1), id)
+}
+
+// ReadReply reads the next message of a service.
+func ReadReply(r *bufio.Reader) (Reply, error) {
+	var a Reply
+	d := decoder{r}
+	n, err := d.array()
+	if err != nil {
+		return a, err
+	}
+	k, err := d.uint()
+	switch {
+	case err != nil:
+		return a, err
+	case kind(k) == notification && n == 3:
+		if a.Notification, err = d.text("method"); err == nil {
+			err = d.skip(0)
+		}
+		return a, err
+	case kind(k) != response || n != 4:
+		return a, malformed("%d elements of type %d", n, k)
+	}
+	if a.ID, err = d.uint(); err != nil {
+		return a, err
+	}
+	if null, err := d.null(); err != nil {
+		return a, err
+	} else if !null {
+		if err := d.pair(func() error { a.Error, err = d.text("error"); return err }, &a.Fields); err != nil {
+			return a, err
+		}
+		if null, err = d.null(); err == nil && !null {
+			err = malformed("a result beside an error")
+		}
+		return a, err
+	}
+	return a, d.pair(func() error {
+		b, err := r.Peek(1)
+		if err == nil && b[0]&0xfe == 0xc2 {
+			a.Good = b[0] == 0xc3
+			_, err = r.Discard(1)
+			return err
+		}
+		a.Body, err = d.bytes("result", 64<<10)
+		return err
+	}, &a.Fields)
+}
+
+// null passes over a nil, if that is next.
+func (d decoder) null() (bool, error) {
+	b, err := d.r.Peek(1)
+	if err != nil || b[0] != 0xc0 {
+		return false, err
+	}
+	_, err = d.r.Discard(1)
+	return true, err
+}
+
+// pair reads [VALUE, FIELDS].
+func (d decoder) pair(value func() error, fields *map[string]string) error {
+	n, err := d.array()
+	if err != nil {
+		return err
+	}
+	if n != 2 {
+		return malformed("%d elements where a value and its fields belong", n)
+	}
+	if err = value(); err == nil {
+		*fields, err = d.fields()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/scgi/client.go
@@ -0,0 +1,32 @@
+package scgi
+
+import (
+	"bufio"
+	"strconv"
+	"time"
+)
+
+// This file is the other end of the wire, as a web front has it. The stand-in callers of the tests use it.
+
+// Reply is what a web front reads.
+type Reply struct {
+	Status     int
+	RetryAfter time.Duration
+	Headers    map[string]string // names in lower case
+	Body       []byte
+}
+
+// AppendRequest appends a request as a web front sends it, with headers given as name and value in turn.
+func AppendRequest(b, body []byte, headers ...string) []byte {
+	return appendMessage(b, body, headers...)
+}
+
+// ReadReply reads the answer to the one request of a connection.
+func ReadReply(r *bufio.Reader) (Reply, error) {
+	a, err := readResponse(r, longestResult)
+	if err != nil {
+		return Reply{}, err
+	}
+	seconds, _ := strconv.Atoi(a.headers["retry-after"])
+	return Reply{a.status, time.Duration(seconds) * time.Second, a.headers, a.body}, nil
+}
--- /dev/null
+++ b/internal/scgi/front.go
@@ -0,0 +1,257 @@
+package scgi
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"silverpath"
+	"silverpath/internal/buf"
+	"silverpath/internal/core"
+	"silverpath/internal/front"
+	"silverpath/internal/settings"
+	"silverpath/internal/stats"
+)
+
+// Name is the front's name in counters and log lines.
+const Name = "scgi"
+
+// The headers that a request is mapped from; a web front makes them of the HTTP headers X-Request-Class and so
+// on, or sets them itself.
+const (
+	headerClass    = "HTTP_X_REQUEST_CLASS"
+	headerTenant   = "HTTP_X_TENANT"
+	headerDeadline = "HTTP_X_TIMEOUT_MS"
+	headerCaller   = "HTTP_X_CALLER"
+	headerRank     = "HTTP_X_RANK"
+	headerKey      = "HTTP_IDEMPOTENCY_KEY"
+)
+
+const (
+	wholeTimeout = 10 * time.Second // for a request to come in
+	writeTimeout = 2 * time.Second
+	lingerFor    = time.Second // for what a client still sends after an answer that did not wait for it
+	longestWait  = time.Hour
+	longestKey   = 128
+)
+
+// Front serves web fronts.
+type Front struct {
+	core  *core.Core
+	cfg   settings.SCGI
+	log   *log.Logger
+	stats *stats.Counters
+	salt  uint64
+	seq   atomic.Uint64
+}
+
+// New returns the front of a core. The seed makes its request ids.
+func New(c *core.Core, cfg settings.SCGI, seed int64, l *log.Logger, s *stats.Counters) *Front {
+	return &Front{core: c, cfg: cfg, log: l, stats: s, salt: rand.New(rand.NewPCG(uint64(seed), 1)).Uint64()}
+}
+
+// newID returns an id of 16 hexadecimal digits that no other request of this process has.
+func (f *Front) newID() string {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], f.salt^f.seq.Add(1)*0x9e3779b97f4a7c15) // odd factor: never twice
+	return fmt.Sprintf("%x", b)
+}
+
+// problem is an answer to a request that never reached the core.
+type problem struct {
+	status, text string
+	count        string
+}
+
+func (p *problem) Error() string { return p.text }
+
+var statusOf = map[core.Outcome]string{
+	core.Served: "200 OK", core.Refused: "503 Service Unavailable", core.Failed: "502 Bad Gateway",
+	core.Expired: "504 Gateway Timeout",
+}
+
+// Serve is the life of one connection, which carries one request.
+func (f *Front) Serve(conn net.Conn, slot *front.Slot) {
+	defer conn.Close()
+	r := buf.Reader(conn)
+	defer buf.PutReader(r)
+	conn.SetReadDeadline(time.Now().Add(wholeTimeout))
+	m, err := readMessage(r, f.cfg.MaxBody)
+	if err == nil {
+		var q core.Request
+		if q, err = f.mapRequest(m, time.Now(), conn.RemoteAddr()); err == nil {
+			conn.SetReadDeadline(time.Time{})
+			slot.Open(1)
+			f.serve(conn, r, q)
+			return
+		}
+	}
+	var p *problem
+	switch {
+	case errors.As(err, &p):
+	case errors.Is(err, errMalformed):
+		p = &problem{"400 Bad Request", err.Error(), "malformed"}
+	case errors.Is(err, errTooLarge):
+		p = &problem{"413 Content Too Large", err.Error(), "too_large"}
+	case err == io.EOF:
+		return // opened and closed again
+	default:
+		f.stats.Inc("cut_short", Name)
+		return // it broke off or came too slowly: nobody is there to be answered
+	}
+	f.stats.Inc(p.count, Name)
+	f.log.Printf("%s: %s to %v: %s", Name, p.status, conn.RemoteAddr(), p.text)
+	f.write(conn, p.status, []byte(p.text+"\n"), "text/plain")
+	linger(conn, r)
+}
+
+// serve leads one request through the core and watches meanwhile whether its caller leaves. A caller that
+// closes its connection has left; the run of a keyed request goes on, and a retry takes its result.
+func (f *Front) serve(conn net.Conn, r *bufio.Reader, q core.Request) {
+	replied := make(chan struct{})
+	go f.core.Serve(q, func(a core.Answer) {
+		headers := []string{"X-Request-Id", q.ID}
+		if a.Outcome == core.Refused {
+			wait := max(1, int64((a.Wait+time.Second-1)/time.Second))
+			headers = append(headers, "Retry-After", strconv.FormatInt(wait, 10))
+			if a.Final {
+				headers = append(headers, "X-Retry-Elsewhere", "no")
+			}
+		}
+		body, kind := a.Body, "application/octet-stream"
+		if a.Outcome != core.Served {
+			body, kind = []byte(a.Outcome.String()+"\n"), "text/plain"
+		}
+		f.write(conn, statusOf[a.Outcome], body, kind, headers...)
+		close(replied)
+		linger(conn, nil)
+	})
+	var err error
+	for err == nil { // what comes after a request means nothing
+		_, err = r.Discard(1)
+	}
+	select {
+	case <-replied:
+		return
+	default:
+	}
+	if err == io.EOF && f.cfg.HalfClose {
+		<-replied
+		return
+	}
+	f.stats.Inc("dropped", Name)
+	f.core.Gone(q.ID)
+}
+
+// write writes an answer. A peer that takes nothing for writeTimeout loses it.
+func (f *Front) write(conn net.Conn, status string, body []byte, kind string, headers ...string) {
+	b := buf.Get()
+	defer buf.Put(b)
+	*b = appendResponse(*b, status, body, kind, headers...)
+	conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := conn.Write(*b); err != nil {
+		f.stats.Inc("write_failed", Name)
+	}
+}
+
+// linger ends a connection so that the answer arrives. Closing one with bytes unread resets it, and a reset
+// can overtake the answer; so the sending half is closed first, and what still comes is read for a while. With
+// a nil reader somebody else reads.
+func linger(conn net.Conn, r *bufio.Reader) {
+	half, ok := conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		conn.Close()
+		return
+	}
+	conn.SetReadDeadline(time.Now().Add(lingerFor))
+	if r != nil {
+		io.Copy(io.Discard, r)
+	}
+}
+
+// mapRequest makes a request of an SCGI message.
+func (f *Front) mapRequest(m message, now time.Time, from net.Addr) (core.Request, error) {
+	bad := func(header string) (core.Request, error) {
+		return core.Request{}, &problem{"400 Bad Request", fmt.Sprintf("%s is %q", header, m.headers[header]), "bad_header"}
+	}
+	class, known := f.class(m.headers)
+	if !known {
+		return core.Request{}, &problem{"404 Not Found", fmt.Sprintf("no class %q", class.Name), "unknown_class"}
+	}
+	q := core.Request{
+		Front: Name, ID: f.newID(), Class: class.Name, Tenant: f.cfg.Tenant, HeldKB: f.cfg.HeldKB,
+		Reached: now, Body: m.body, Key: m.headers[headerKey],
+	}
+	if t := m.headers[headerTenant]; t != "" {
+		q.Tenant = t
+	}
+	if len(q.Key) > longestKey {
+		return bad(headerKey)
+	}
+	wait := class.Deadline
+	if f.cfg.Deadline > 0 {
+		wait = f.cfg.Deadline
+	}
+	if v, ok := m.headers[headerDeadline]; ok {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 || ms > longestWait.Milliseconds() {
+			return bad(headerDeadline)
+		}
+		wait = time.Duration(ms) * time.Millisecond
+	}
+	q.Due = now.Add(wait)
+	var err error
+	if v, ok := m.headers[headerCaller]; ok {
+		if q.Caller, err = strconv.Atoi(v); err != nil || q.Caller < 0 {
+			return bad(headerCaller)
+		}
+	} else {
+		q.Caller = callerOf(m.headers["REMOTE_ADDR"], from)
+	}
+	if v, ok := m.headers[headerRank]; ok {
+		if q.Rank, err = strconv.ParseFloat(v, 64); err != nil || !(q.Rank >= 0 && q.Rank < 1) {
+			return bad(headerRank)
+		}
+	}
+	return q, nil
+}
+
+// class finds the class: the header, else the path's first part, else the configured one.
+func (f *Front) class(h map[string]string) (silverpath.Class, bool) {
+	name := h[headerClass]
+	if name == "" {
+		path := h["PATH_INFO"]
+		if path == "" {
+			path, _, _ = strings.Cut(h["REQUEST_URI"], "?")
+		}
+		name, _, _ = strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	}
+	if name == "" {
+		name = f.cfg.Class
+	}
+	class, known := f.core.Class(name)
+	if !known {
+		class.Name = name
+	}
+	return class, known
+}
+
+// callerOf numbers a caller by its address, the web front's own where it names none.
+func callerOf(remote string, from net.Addr) int {
+	if remote == "" && from != nil {
+		remote, _, _ = net.SplitHostPort(from.String())
+	}
+	h := fnv.New32a()
+	io.WriteString(h, remote)
+	return int(h.Sum32() >> 1)
+}
--- /dev/null
+++ b/internal/scgi/scgi.go
@@ -0,0 +1,211 @@
+// Package scgi is the second front: it serves web fronts that speak SCGI, and calls application servers that
+// do. The protocol is that of "SCGI: A Simple Common Gateway Interface alternative" (Neil Schemenauer): a
+// netstring of headers, then a body; one request on a connection, and an answer as CGI gives it.
+//
+// docs/scgi.md has the mapping between SCGI's headers and a request.
+package scgi
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+const (
+	longestHeaders = 8 << 10 // of the netstring
+	mostHeaders    = 128
+)
+
+var (
+	errMalformed = errors.New("malformed request")
+	errTooLarge  = errors.New("request too large")
+)
+
+func malformed(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", errMalformed, fmt.Sprintf(format, args...))
+}
+
+// message is one SCGI request.
+type message struct {
+	headers map[string]string
+	body    []byte
+}
+
+// readMessage reads a request whose body has at most the given size. io.EOF means that nothing was sent.
+func readMessage(r *bufio.Reader, mostBody int) (message, error) {
+	var m message
+	if _, err := r.Peek(1); err != nil {
+		return m, err
+	}
+	err := m.read(r, mostBody)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return m, err
+}
+
+func (m *message) read(r *bufio.Reader, mostBody int) error {
+	block, err := readNetstring(r)
+	if err != nil {
+		return err
+	}
+	size, err := m.parse(block)
+	if err != nil {
+		return err
+	}
+	if size > uint64(mostBody) {
+		return fmt.Errorf("%w: a body of %d bytes", errTooLarge, size)
+	}
+	m.body = make([]byte, size)
+	_, err = io.ReadFull(r, m.body)
+	return err
+}
+
+// readNetstring reads LENGTH ":" BYTES ",".
+func readNetstring(r *bufio.Reader) ([]byte, error) {
+	n := 0
+	for i := 0; ; i++ {
+		b, err := r.ReadByte()
+		if err != nil {
+			return nil, err
+		}
+		if b == ':' && i > 0 {
+			break
+		}
+		if b < '0' || b > '9' || i == 1 && n == 0 {
+			return nil, malformed("byte %q in the length of a netstring", b)
+		}
+		if n = n*10 + int(b-'0'); n > longestHeaders {
+			return nil, fmt.Errorf("%w: headers of over %d bytes", errTooLarge, longestHeaders)
+		}
+	}
+	v := make([]byte, n+1)
+	if _, err := io.ReadFull(r, v); err != nil {
+		return nil, err
+	}
+	if v[n] != ',' {
+		return nil, malformed("a netstring ends with %q", v[n])
+	}
+	return v[:n], nil
+}
+
+// parse splits the headers and returns the length of the body.
+func (m *message) parse(block []byte) (size uint64, err error) {
+	m.headers = map[string]string{}
+	rest := string(block)
+	for i := 0; rest != ""; i++ {
+		name, tail, ok := strings.Cut(rest, "\x00")
+		value, tail, whole := strings.Cut(tail, "\x00")
+		switch {
+		case !ok || !whole:
+			return 0, malformed("a header without an end")
+		case name == "":
+			return 0, malformed("a header without a name")
+		case i == 0 && name != "CONTENT_LENGTH":
+			return 0, malformed("the first header is %q, not CONTENT_LENGTH", name)
+		case i == mostHeaders:
+			return 0, fmt.Errorf("%w: over %d headers", errTooLarge, mostHeaders)
+		}
+		if _, twice := m.headers[name]; twice {
+			return 0, malformed("header %q given twice", name)
+		}
+		m.headers[name] = value
+		rest = tail
+	}
+	if m.headers["SCGI"] != "1" {
+		return 0, malformed("header SCGI is %q, not 1", m.headers["SCGI"])
+	}
+	length := m.headers["CONTENT_LENGTH"]
+	if strings.Trim(length, "0123456789") != "" || length == "" {
+		return 0, malformed("CONTENT_LENGTH is %q", length)
+	}
+	if size, err = strconv.ParseUint(length, 10, 63); err != nil {
+		return 0, fmt.Errorf("%w: CONTENT_LENGTH is %s", errTooLarge, length)
+	}
+	return size, nil
+}
+
+// appendMessage appends a request with the headers given as name and value in turn.
+func appendMessage(b, body []byte, headers ...string) []byte {
+	all := append([]string{"CONTENT_LENGTH", strconv.Itoa(len(body)), "SCGI", "1"}, headers...)
+	n := 0
+	for _, s := range all {
+		n += len(s) + 1
+	}
+	b = append(strconv.AppendInt(b, int64(n), 10), ':')
+	for _, s := range all {
+		b = append(append(b, s...), 0)
+	}
+	return append(append(b, ','), body...)
+}
+
+// appendResponse appends an answer with the headers given as name and value in turn.
+func appendResponse(b []byte, status string, body []byte, kind string, headers ...string) []byte {
+	b = fmt.Appendf(b, "Status: %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n", status, kind, len(body))
+	for i := 0; i < len(headers); i += 2 {
+		b = fmt.Appendf(b, "%s: %s\r\n", headers[i], headers[i+1])
+	}
+	return append(append(b, "\r\n"...), body...)
+}
+
+// response is an application server's answer.
+type response struct {
+	status  int
+	headers map[string]string // names in lower case
+	body    []byte
+}
+
+// readResponse reads an answer as CGI gives it: headers, an empty line, and a body to the end of the stream or
+// to the length stated. Without a Status the status is 200. A body cut short is an error, never a result.
+func readResponse(r *bufio.Reader, mostBody int) (response, error) {
+	a := response{status: 200, headers: map[string]string{}}
+	for i := 0; ; i++ {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return a, fmt.Errorf("reading the headers of the answer: %w", err)
+		}
+		text := strings.TrimRight(string(line), "\r\n")
+		if text == "" {
+			break
+		}
+		name, value, ok := strings.Cut(text, ":")
+		if !ok || name == "" || i == mostHeaders {
+			return a, malformed("%q where a header of the answer belongs", text)
+		}
+		a.headers[strings.ToLower(name)] = strings.TrimSpace(value)
+	}
+	if len(a.headers) == 0 {
+		return a, malformed("an answer without headers")
+	}
+	if s, ok := a.headers["status"]; ok {
+		code, _, _ := strings.Cut(s, " ")
+		n, err := strconv.Atoi(code)
+		if err != nil || n < 100 || n > 599 {
+			return a, malformed("the answer's Status is %q", s)
+		}
+		a.status = n
+	}
+	if s, ok := a.headers["content-length"]; ok {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 0 || n > mostBody {
+			return a, malformed("the answer's Content-Length is %q", s)
+		}
+		a.body = make([]byte, n)
+		if _, err := io.ReadFull(r, a.body); err != nil {
+			return a, fmt.Errorf("reading the body of the answer: %w", err)
+		}
+		return a, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r, int64(mostBody)+1))
+	if err != nil {
+		return a, fmt.Errorf("reading the body of the answer: %w", err)
+	}
+	if len(body) > mostBody {
+		return a, malformed("the answer's body has over %d bytes", mostBody)
+	}
+	a.body = body
+	return a, nil
+}
--- /dev/null
+++ b/internal/scgi/upstream.go
@@ -0,0 +1,130 @@
+package scgi
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"silverpath"
+	"silverpath/internal/buf"
+	"silverpath/internal/core"
+	"silverpath/internal/stats"
+)
+
+const (
+	longestResult = 64 << 10
+	dialTimeout   = time.Second
+)
+
+// Events is who hears of runs: the core.
+type Events interface {
+	Up()
+	Ended(id string, o silverpath.Outcome, spent time.Duration, result []byte)
+	Gauges(g silverpath.Gauges)
+}
+
+// Upstream is a Runner for sites whose work is done by an SCGI application server. It is a client: one
+// connection for each run. Such a server tells nothing of its cores, so the gauges are what is seen from here:
+// runs under way, for each core that the settings give it.
+type Upstream struct {
+	addr    string
+	cores   int
+	timeout time.Duration
+	events  Events
+	log     *log.Logger
+	stats   *stats.Counters
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
+	room    chan struct{}
+
+	mu      sync.Mutex
+	running int
+}
+
+var _ core.Runner = (*Upstream)(nil)
+
+// NewUpstream returns a runner on the application server at addr, with at most the given number of connections.
+// A run that has no answer after the timeout is taken to have failed.
+func NewUpstream(addr string, cores, most int, timeout time.Duration, events Events, l *log.Logger, s *stats.Counters) *Upstream {
+	return &Upstream{
+		addr: addr, cores: max(1, cores), timeout: timeout, events: events, log: l, stats: s,
+		dial: (&net.Dialer{Timeout: dialTimeout}).DialContext, room: make(chan struct{}, max(1, most)),
+	}
+}
+
+// Keep tells the core that the runner is ready: there is no link to hold.
+func (u *Upstream) Keep(context.Context) { u.events.Up() }
+
+// Run starts a request.
+func (u *Upstream) Run(id, class string, body []byte) {
+	u.mu.Lock()
+	u.running++
+	u.mu.Unlock()
+	go func() {
+		began := time.Now()
+		outcome, result := u.run(id, class, body)
+		u.mu.Lock()
+		u.running--
+		u.mu.Unlock()
+		u.events.Ended(id, outcome, time.Since(began), result)
+	}()
+}
+
+// Resume is never asked: an application server's runs wait for no call of ours.
+func (u *Upstream) Resume(string, []byte) {}
+
+// Probe reports the gauges.
+func (u *Upstream) Probe() {
+	u.mu.Lock()
+	n := float64(u.running)
+	u.mu.Unlock()
+	u.events.Gauges(silverpath.Gauges{CPU: min(1, n/float64(u.cores)), OnCores: n, Connections: n})
+}
+
+// run is one request to the application server.
+func (u *Upstream) run(id, class string, body []byte) (silverpath.Outcome, []byte) {
+	u.room <- struct{}{}
+	defer func() { <-u.room }()
+	ctx, cancel := context.WithTimeout(context.Background(), u.timeout)
+	defer cancel()
+	conn, err := u.dial(ctx, "tcp", u.addr)
+	if err != nil {
+		u.stats.Inc("upstream", "unreachable")
+		u.log.Printf("application server: %v", err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return silverpath.Ignored, nil // proof that nothing ran
+		}
+		return silverpath.Failed, nil
+	}
+	defer conn.Close()
+	a, err := u.exchange(conn, id, class, body)
+	switch {
+	case err != nil:
+		// A connection that breaks proves nothing: the effect may have taken place.
+		u.stats.Inc("upstream", "broken")
+		u.log.Printf("application server: request %s: %v", id, err)
+		return silverpath.Failed, nil
+	case a.status/100 != 2:
+		u.stats.Inc("upstream", fmt.Sprintf("status_%d", a.status))
+		return silverpath.Failed, nil
+	}
+	return silverpath.OK, a.body
+}
+
+func (u *Upstream) exchange(conn net.Conn, id, class string, body []byte) (response, error) {
+	conn.SetDeadline(time.Now().Add(u.timeout))
+	b := buf.Get()
+	defer buf.Put(b)
+	*b = appendMessage(*b, body, "REQUEST_METHOD", "POST", "REQUEST_URI", "/"+class, "PATH_INFO", "/"+class,
+		"SCRIPT_NAME", "", "HTTP_X_REQUEST_CLASS", class, "HTTP_X_REQUEST_ID", id)
+	if _, err := conn.Write(*b); err != nil {
+		return response{}, fmt.Errorf("writing the request: %w", err)
+	}
+	r := buf.Reader(conn)
+	defer buf.PutReader(r)
+	return readResponse(r, longestResult)
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -18,6 +18,7 @@
 	"silverpath/internal/front"
 	"silverpath/internal/interp"
 	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
 	"silverpath/internal/stats"
 	"silverpath/internal/vault"
@@ -72,7 +73,11 @@
 	}
 	b := budget(cfg)
 	var runner core.Runner
-	{
+	if cfg.SCGI.Upstream != "" {
+		up := scgi.NewUpstream(cfg.SCGI.Upstream, cfg.Server.Cores, b.Upstream, cfg.SCGI.Timeout, s.core, l, s.stats)
+		s.keep = append(s.keep, up.Keep)
+		runner = up
+	} else {
 		link := interp.New(cfg.VM, cfg.Gauges, s.core, l, s.stats)
 		s.keep = append(s.keep, link.Keep)
 		runner = link
@@ -90,6 +95,12 @@
 			return nil, err
 		}
 	}
+	if cfg.SCGI.Listen != "" {
+		f := scgi.New(s.core, cfg.SCGI, cfg.Seed, l, s.stats)
+		if err := s.listen("scgi.listen", scgi.Name, cfg.SCGI.Listen, b.SCGI, f.Serve); err != nil {
+			return nil, err
+		}
+	}
 	if cfg.Announce != "" {
 		s.keep = append(s.keep, func(ctx context.Context) {
 			if err := announce.Keep(ctx, cfg.Announce, cfg.Name, s.core.Health); err != nil {
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -31,13 +31,15 @@
 
 // SCGI sets up the second front and the second runner; both are off while their address is empty.
 type SCGI struct {
-	Listen   string // where web fronts connect
-	Upstream string // an application server that does the work in place of the interpreter
-	MaxBody  int
-	Class    string        // for requests that name none; empty: the path's first part names it
-	Tenant   string        // likewise
-	Deadline time.Duration // likewise; 0: the class's own
-	HeldKB   float64       // memory booked for a held request
+	Listen    string // where web fronts connect
+	Upstream  string // an application server that does the work in place of the interpreter
+	MaxBody   int
+	Class     string        // for requests that name none; empty: the path's first part names it
+	Tenant    string        // likewise
+	Deadline  time.Duration // likewise; 0: the class's own
+	HeldKB    float64       // memory booked for a held request
+	HalfClose bool          // a caller that closes its sending half still waits for its answer
+	Timeout   time.Duration // after which a run upstream is taken to have failed
 }
 
 // Load reads the configuration file and lets LB_NAME and LB_LISTEN stand in for what it leaves out.
@@ -72,6 +74,8 @@
 			Listen: s.text("listen"), Upstream: s.text("upstream"), MaxBody: int(s.integer("max_body")),
 			Class: s.text("class"), Tenant: s.text("tenant"),
 			Deadline: time.Duration(s.integer("deadline_ms")) * time.Millisecond, HeldKB: s.number("held_kb"),
+			HalfClose: s.flag("half_close"),
+			Timeout:   time.Duration(s.integer("upstream_timeout_ms")) * time.Millisecond,
 		},
 	}
 	c.Server, c.Gauges = read(f.object("settings"))
@@ -128,6 +132,8 @@
 		return fmt.Errorf("scgi.max_body: negative: %v", c.SCGI.MaxBody)
 	case c.SCGI.Deadline < 0:
 		return fmt.Errorf("scgi.deadline_ms: negative: %v", c.SCGI.Deadline.Milliseconds())
+	case c.SCGI.Timeout < 0:
+		return fmt.Errorf("scgi.upstream_timeout_ms: negative: %v", c.SCGI.Timeout.Milliseconds())
 	case !(c.SCGI.HeldKB >= 0 && c.SCGI.HeldKB < 2000):
 		return fmt.Errorf("scgi.held_kb: not from 0 to 2000: %v", c.SCGI.HeldKB)
 	}
@@ -143,6 +149,9 @@
 	if c.SCGI.MaxBody == 0 {
 		c.SCGI.MaxBody = 2048
 	}
+	if c.SCGI.Timeout == 0 {
+		c.SCGI.Timeout = 30 * time.Second
+	}
 	if c.SCGI.HeldKB == 0 {
 		c.SCGI.HeldKB = 32
 	}
