--- /dev/null
+++ b/internal/core/keys_test.go
@@ -0,0 +1,159 @@
+package core
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"silverpath"
+)
+
+var keyed = silverpath.Class{Name: "oddaja", Effect: silverpath.Keyed, Deadline: 4 * time.Second, KeyWindow: 10 * time.Second}
+
+func tryAt(id string, reached time.Time) *task {
+	return &task{Request: Request{ID: id, Class: "oddaja", Key: "k", Reached: reached, Due: reached.Add(4 * time.Second)}, class: keyed}
+}
+
+// A try is linked to the run inside whose window it reached the machine, however late it is read, and also when
+// it reached the machine before the one that ran.
+func TestLateReadTryIsLinked(t *testing.T) {
+	k, t0 := newKeyTable(1<<20), time.Unix(1000, 0)
+	first := tryAt("a", t0)
+	k.enter(first, 0, t0)
+	if !k.start(first) {
+		t.Fatal("the first try may not run")
+	}
+	k.done(first.flight, silverpath.OK, []byte("done"), t0.Add(time.Second))
+	k.sweep(t0.Add(keyed.KeyWindow + 3900*time.Millisecond))
+	for _, reached := range []time.Duration{-time.Second, time.Second, keyed.KeyWindow} {
+		late := tryAt("b", t0.Add(reached))
+		k.enter(late, 0, t0.Add(reached+3900*time.Millisecond))
+		if late.repeats == nil || late.repeats.id != "a" {
+			t.Errorf("reached %v after: repeats %v", reached, late.repeats)
+		}
+	}
+	next := tryAt("c", t0.Add(keyed.KeyWindow+time.Second))
+	if k.enter(next, 0, next.Reached); next.repeats != nil || !k.start(next) {
+		t.Error("a try past the window may not run")
+	}
+}
+
+// A newer try that never runs must not make the table forget what did: else a late try would run again.
+func TestDroppedHolderLeavesTheRun(t *testing.T) {
+	k, t0 := newKeyTable(1<<20), time.Unix(1000, 0)
+	first := tryAt("a", t0)
+	k.enter(first, 0, t0)
+	k.start(first)
+	k.done(first.flight, silverpath.OK, []byte("done"), t0)
+	next := tryAt("b", t0.Add(keyed.KeyWindow+time.Second))
+	k.enter(next, 0, next.Reached)
+	k.drop(next.flight)
+	late := tryAt("c", t0.Add(keyed.KeyWindow-time.Second))
+	if k.enter(late, 0, next.Reached); late.repeats != first.flight {
+		t.Fatal("the run is forgotten")
+	}
+}
+
+// Keys and results are bounded: at the bound new keys find no room, and time makes room again.
+func TestKeysAreBounded(t *testing.T) {
+	k, t0 := newKeyTable(64<<10), time.Unix(1000, 0)
+	n := 0
+	for ; n < 10000; n++ {
+		r := tryAt(fmt.Sprint(n), t0)
+		r.Key = r.ID
+		if !k.enter(r, 0, t0) {
+			break
+		}
+		k.start(r)
+		k.done(r.flight, silverpath.OK, make([]byte, 4096), t0)
+	}
+	if n == 10000 || k.size > 64<<10+8192 {
+		t.Fatalf("%d keys, %d bytes", n, k.size)
+	}
+	k.sweep(t0.Add(time.Minute))
+	if len(k.entries) != 0 || k.size != 0 {
+		t.Fatalf("%d entries and %d bytes are left", len(k.entries), k.size)
+	}
+}
+
+// misled asks for what the rules forbid, as a mistaken module would.
+type misled struct {
+	core *Core
+	runs []string
+}
+
+func (m *misled) Run(id, _ string, _ []byte) { m.runs = append(m.runs, id) }
+func (m *misled) Resume(string, []byte)      {}
+func (m *misled) Probe()                     {}
+
+// The core's own guard keeps an effect from running twice, whatever the module asks.
+func TestGuard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, err := New(Config{MemoryMB: 64, Log: log.New(io.Discard, "", 0), Settings: silverpath.Settings{
+			Cores: 4, MemoryKB: 10000, CrowdLimit: 8, Classes: []silverpath.Class{keyed}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &misled{core: c}
+		if err := c.Attach(m, nil); err != nil {
+			t.Fatal(err)
+		}
+		send := func(id string) chan Answer {
+			answers := make(chan Answer, 2)
+			now := time.Now()
+			go c.Serve(Request{Front: "test", ID: id, Class: "oddaja", Key: "k", Reached: now, Due: now.Add(time.Second), HeldKB: 1},
+				func(a Answer) { answers <- a })
+			synctest.Wait()
+			return answers
+		}
+		a := send("a")
+		b := send("b") // joins a
+		for _, id := range []string{"a", "b"} {
+			c.mu.Lock()
+			(*host)(c).Run(id)
+			c.perform()
+			c.mu.Unlock()
+			synctest.Wait()
+		}
+		if len(m.runs) != 1 || c.stats.Get("guard") != 1 {
+			t.Fatalf("ran %v, guard %d", m.runs, c.stats.Get("guard"))
+		}
+		c.Ended("a", silverpath.OK, 0, nil)
+		time.Sleep(2 * time.Second)
+		if len(a) != 1 || len(b) != 1 {
+			t.Fatalf("%d and %d answers", len(a), len(b))
+		}
+		c.Stop()
+	})
+}
+
+// Bounds of the process itself: what is beyond them is turned away at once.
+func TestTooMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, err := New(Config{MemoryMB: 64, Log: log.New(io.Discard, "", 0), Settings: silverpath.Settings{
+			Cores: 1, MemoryKB: 1e9, CrowdLimit: 1000, Classes: []silverpath.Class{keyed}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Attach(&misled{core: c}, nil); err != nil {
+			t.Fatal(err)
+		}
+		c.maxTasks = 1
+		now := time.Now()
+		var got []Answer
+		for _, id := range []string{"a", "a", "b"} {
+			go c.Serve(Request{ID: id, Class: "oddaja", Reached: now, Due: now.Add(time.Second), HeldKB: 1},
+				func(a Answer) { got = append(got, a) })
+			synctest.Wait()
+		}
+		if len(got) != 2 || got[0].Outcome != Failed || got[1].Outcome != Refused {
+			t.Fatalf("answers %v", got)
+		}
+		c.Ended("a", silverpath.OK, 0, nil)
+		time.Sleep(2 * time.Second)
+		c.Stop()
+	})
+}
--- /dev/null
+++ b/internal/interp/interp_test.go
@@ -0,0 +1,235 @@
+package interp
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"silverpath"
+	"silverpath/internal/stats"
+)
+
+// heard notes what the core would be told.
+type heard struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (h *heard) note(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list = append(h.list, fmt.Sprintf(format, args...))
+}
+func (h *heard) Up()                           { h.note("up") }
+func (h *heard) Awaits(id string, body []byte) { h.note("awaits %s %q", id, body) }
+func (h *heard) Ended(id string, o silverpath.Outcome, spent time.Duration, result []byte) {
+	h.note("ended %s %d %v %q", id, o, spent, result)
+}
+func (h *heard) Gauges(g silverpath.Gauges) { h.note("gauges %v %v", g.CPU, g.OnCores) }
+
+func (h *heard) take() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.list
+	h.list = nil
+	return l
+}
+
+// machine is the stand-in interpreter's side of one link.
+type machine struct {
+	t    *testing.T
+	conn net.Conn
+	in   chan string
+}
+
+func (m *machine) say(lines ...string) {
+	m.t.Helper()
+	for _, l := range lines {
+		if _, err := m.conn.Write([]byte(l + "\n")); err != nil {
+			m.t.Fatal(err)
+		}
+	}
+	synctest.Wait()
+}
+
+// reads checks the commands that have come.
+func (m *machine) reads(want ...string) {
+	m.t.Helper()
+	synctest.Wait()
+	var got []string
+	for len(m.in) > 0 {
+		got = append(got, <-m.in)
+	}
+	if !slices.Equal(got, want) {
+		m.t.Fatalf("commands %q, want %q", got, want)
+	}
+}
+
+// play runs a test with a link whose every connection is handed over as a machine.
+func play(t *testing.T, test func(l *Link, h *heard, next func() *machine)) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &heard{}
+		l := New("127.0.0.1:1", []string{"core_use", "on_cores"}, h, log.New(io.Discard, "", 0), &stats.Counters{})
+		conns := make(chan net.Conn, 8)
+		l.dial = func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			conns <- far
+			return near, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); l.Keep(ctx) }()
+		var machines []*machine
+		test(l, h, func() *machine {
+			m := &machine{t: t, conn: <-conns, in: make(chan string, 100)}
+			machines = append(machines, m)
+			go func() {
+				s := bufio.NewScanner(m.conn)
+				for s.Scan() {
+					m.in <- s.Text()
+				}
+			}()
+			return m
+		})
+		cancel()
+		for _, m := range machines {
+			m.conn.Close()
+		}
+		<-done
+	})
+}
+
+const sync0 = `{"type":"TOP","ref":"sync"}`
+const tick = `{"type":"TOP","ref":"tick"}`
+const tops = `{"type":"TOPS","ref":"sync","gauges":[0.5,3,0,0]}`
+const banner = `{"type":"BANNER","state":"EMPTY","took":5}`
+
+func apply(id string) string {
+	return `{"type":"APPLY","job":"` + id + `","kind":"krog","data":"eA=="}`
+}
+
+func TestRun(t *testing.T) {
+	play(t, func(l *Link, h *heard, next func() *machine) {
+		m := next()
+		m.reads(`{"type":"CONNECT","n":0}`)
+		time.Sleep(time.Minute) // the interpreter may start long after the service
+		l.Run("a", "krog", []byte("x"))
+		m.reads()
+		m.say(banner)
+		m.reads(sync0)
+		m.say(tops)
+		m.reads(apply("a"), tick)
+		m.say(`{"type":"TRACE","n":1,"state":"hello"}`, `{"type":"AWAIT","n":2,"job":"a","data":"AGFzaw=="}`)
+		l.Resume("a", []byte("\x00re"))
+		m.reads(`{"type":"RESOLVE","job":"a","data":"AHJl"}`)
+		m.say(`{"type":"VALUE","n":3,"job":"a","state":"PASS","took":12,"data":"b2s="}`)
+		want := []string{"up", "gauges 0.5 3", `awaits a "\x00ask"`, `ended a 0 12ms "ok"`}
+		if got := h.take(); !slices.Equal(got, want) {
+			t.Fatalf("heard %q, want %q", got, want)
+		}
+	})
+}
+
+// ERROR and NOOP end a run, and so does KILLED; what ends a run that is over already is passed over.
+func TestEnds(t *testing.T) {
+	play(t, func(l *Link, h *heard, next func() *machine) {
+		m := next()
+		m.say(banner, tops)
+		for _, id := range []string{"a", "b", "c", "d"} {
+			l.Run(id, "krog", []byte("x"))
+		}
+		m.say(`{"type":"ERROR","state":"APPLY","job":"a"}`, `{"type":"VALUE","n":1,"job":"b","state":"NOOP","took":0}`,
+			`{"type":"VALUE","n":2,"job":"c","state":"KILLED","took":1}`, `{"type":"VALUE","n":3,"job":"d","state":"FAIL","took":1}`,
+			`{"type":"ERROR","state":"RESOLVE","job":"d"}`)
+		want := []string{"up", "gauges 0.5 3", `ended a 1 0s ""`, `ended b 7 0s ""`, `ended c 6 1ms ""`, `ended d 1 1ms ""`}
+		if got := h.take(); !slices.Equal(got, want) {
+			t.Fatalf("heard %q, want %q", got, want)
+		}
+	})
+}
+
+// A new link takes the notices up where the last one was read to, hears none twice, and starts again only what
+// has no end once all that was missed is read: a start lost with the old link must not lose its request, and a
+// run that ended meanwhile must not be started again.
+func TestReconnect(t *testing.T) {
+	play(t, func(l *Link, h *heard, next func() *machine) {
+		m := next()
+		m.say(banner, tops)
+		l.Run("a", "krog", []byte("x"))
+		l.Run("b", "krog", []byte("x"))
+		m.say(`{"type":"VALUE","n":1,"job":"z","state":"PASS","took":1}`, `{"type":"AWAIT","n":2,"job":"b","data":""}`)
+		m.conn.Close()
+		synctest.Wait()
+		l.Resume("b", []byte("re")) // while there is no link
+		l.Run("c", "krog", []byte("x"))
+		time.Sleep(time.Second)
+		h.take()
+		m = next()
+		m.reads(`{"type":"CONNECT","n":2}`)
+		m.say(banner)
+		m.say(`{"type":"AWAIT","n":2,"job":"b","data":""}`, `{"type":"VALUE","n":3,"job":"a","state":"PASS","took":1}`)
+		m.reads(sync0)
+		m.say(tops)
+		synctest.Wait()
+		var got []string
+		for len(m.in) > 0 {
+			got = append(got, <-m.in)
+		}
+		slices.Sort(got[:2])
+		if want := []string{apply("b"), apply("c"), `{"type":"RESOLVE","job":"b","data":"cmU="}`, tick}; !slices.Equal(got, want) {
+			t.Fatalf("commands %q, want %q", got, want)
+		}
+		if got, want := h.take(), []string{`ended a 0 1ms ""`, "up", "gauges 0.5 3"}; !slices.Equal(got, want) {
+			t.Fatalf("heard %q, want %q", got, want)
+		}
+	})
+}
+
+// A link that brings what is no notice is given up for a new one; a line longer than a buffer is read whole.
+func TestLines(t *testing.T) {
+	play(t, func(l *Link, h *heard, next func() *machine) {
+		for _, bad := range []string{"{", "[]}", `{"type":"VALUE","n":1,"job":"a","state":"ODD"}`, `{"type":"AWAIT","n":2,"job":"a","data":"*"}`} {
+			m := next()
+			m.say(bad)
+			synctest.Wait()
+			if _, err := m.conn.Write([]byte("x")); err == nil {
+				t.Fatalf("the link outlives %q", bad)
+			}
+		}
+		m := next()
+		m.say(banner, tops, `{"type":"TRACE","n":3,"state":"`+strings.Repeat("x", 100<<10)+`"}`,
+			`{"type":"AWAIT","n":4,"job":"a","data":"eA=="}`)
+		if got := h.take(); !slices.Contains(got, `awaits a "x"`) {
+			t.Fatalf("heard %q", got)
+		}
+	})
+}
+
+// Garbage, from a fixed seed, in the place of notices is an error or passed over, never a panic.
+func TestGarbage(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(5, 6))
+	lines := []string{banner, tops, `{"type":"VALUE","n":3,"job":"a","state":"PASS","took":12,"data":"b2s="}`}
+	for range 5000 {
+		b := []byte(lines[rnd.IntN(len(lines))])
+		for range 1 + rnd.IntN(3) {
+			b[rnd.IntN(len(b))] = byte(rnd.Uint32())
+		}
+		near, far := net.Pipe()
+		go io.Copy(io.Discard, far)
+		l := New("", []string{"core_use"}, &heard{}, log.New(io.Discard, "", 0), &stats.Counters{})
+		go func() { far.Write(append(b, '\n')); far.Close() }()
+		if l.read(near) == nil {
+			t.Fatal("the end of a link is no error")
+		}
+	}
+}
--- /dev/null
+++ b/internal/msgpackrpc/decode_test.go
@@ -0,0 +1,160 @@
+package msgpackrpc
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"silverpath"
+	"silverpath/internal/core"
+)
+
+// valid are messages as balancers send them.
+var valid = [][]byte{
+	AppendRequest(nil, 7, "oddaja", []byte("a\x00b"), "i", "9b1f03aa5c7e2d41", "s", "1764576000123", "f", "4", "t", "acme",
+		"d", "480", "m", "24.5", "p", "0.6250", "k", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"),
+	AppendRequest(nil, 70000, "lestvica", bytes.Repeat([]byte{0xc1}, longestBody), "i", "0", "s", "1", "d", "1", "m", "1"),
+	AppendProbe(nil, 1<<40),
+	AppendGiveUp(nil, 300),
+	{0x94, 0, 0xd0, 5, 0xd9, 1, 'x', 0xdc, 0, 3, 0xde, 0, 0, 0xc6, 0, 0, 0, 0, 0x92, 0xca, 1, 2, 3, 4, 0x81, 0xa1, 'k', 0xc0},
+}
+
+func read(b []byte) (message, error) {
+	return decoder{bufio.NewReader(bytes.NewReader(b))}.message()
+}
+
+func TestMessages(t *testing.T) {
+	m, err := read(valid[0])
+	if err != nil || m.id != 7 || m.method != "oddaja" || string(m.body) != "a\x00b" || m.fields["k"] == "" || len(m.fields) != 8 {
+		t.Fatalf("%+v, %v", m, err)
+	}
+	if m, err = read(valid[3]); err != nil || m.kind != notification || m.id != 300 {
+		t.Fatalf("%+v, %v", m, err)
+	}
+	r := bufio.NewReader(bytes.NewReader(bytes.Join(valid, nil)))
+	for i := range valid {
+		if _, err := (decoder{r}).message(); err != nil {
+			t.Fatalf("message %d of a stream: %v", i, err)
+		}
+	}
+	if _, err := (decoder{r}).message(); err != io.EOF {
+		t.Fatalf("at the end of the stream: %v", err)
+	}
+}
+
+// A message cut anywhere is never taken for a whole one, nor for a clean end.
+func TestCuts(t *testing.T) {
+	for i, b := range valid {
+		for n := 1; n < len(b); n++ {
+			if _, err := read(b[:n]); err != io.ErrUnexpectedEOF {
+				t.Fatalf("message %d cut at %d of %d: %v", i, n, len(b), err)
+			}
+		}
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	for name, b := range map[string][]byte{
+		"not an array":      {0x81, 0, 0},
+		"a response":        {0x94, 1, 1, 0xc0, 0xc0},
+		"a negative id":     {0x94, 0, 0xd0, 0xff, 0xa1, 'x', 0x90},
+		"a body too large":  AppendRequest(nil, 1, "x", make([]byte, longestBody+1)),
+		"a length of 4 GiB": {0x94, 0, 1, 0xdb, 0xff, 0xff, 0xff, 0xff},
+		"a map of 4 G":      {0x94, 0, 1, 0xa1, 'x', 0x92, 0xdf, 0xff, 0xff, 0xff, 0xff},
+		"a number as field": {0x94, 0, 1, 0xa1, 'x', 0x92, 0x81, 0xa1, 'i', 5, 0xc4, 0},
+		"nested too deep":   append([]byte{0x93, 2, 0xa1, 'x', 0x91}, bytes.Repeat([]byte{0x91}, 50)...),
+		"giveUp of nothing": {0x93, 2, 0xa6, 'g', 'i', 'v', 'e', 'U', 'p', 0x90},
+		"no parameters":     {0x94, 0, 1, 0xa1, 'x', 0x90},
+	} {
+		if _, err := read(b); !errors.Is(err, errMalformed) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Garbage, from a fixed seed, ends in an error or a message, never in a panic or a large allocation.
+func TestGarbage(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range 20000 {
+		b := bytes.Clone(valid[rnd.IntN(len(valid))])
+		for range 1 + rnd.IntN(4) {
+			b[rnd.IntN(len(b))] = byte(rnd.Uint32())
+		}
+		if m, err := read(b); err == nil && len(m.body) > longestBody {
+			t.Fatalf("body of %d bytes", len(m.body))
+		}
+	}
+}
+
+func FuzzMessage(f *testing.F) {
+	for _, b := range valid {
+		f.Add(b)
+	}
+	f.Add([]byte("\xdd\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := read(b)
+		if err == nil && (len(m.body) > longestBody || len(m.fields) > mostFields || len(m.method) > longestText) {
+			t.Fatal("a message beyond its bounds")
+		}
+	})
+}
+
+func TestAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		a    core.Answer
+		want Reply
+	}{
+		"served":  {core.Answer{Body: []byte("ok")}, Reply{Body: []byte("ok"), Fields: map[string]string{"v": "2.5"}}},
+		"refused": {core.Answer{Outcome: core.Refused, Wait: 200 * time.Millisecond, Final: true}, Reply{Error: "Full", Fields: map[string]string{"v": "2.5", "w": "200", "l": "1"}}},
+		"failed":  {core.Answer{Outcome: core.Failed}, Reply{Error: "Error", Fields: map[string]string{"v": "2.5"}}},
+		"expired": {core.Answer{Outcome: core.Expired}, Reply{Error: "Error", Fields: map[string]string{"v": "2.5"}}},
+	} {
+		got, err := ReadReply(bufio.NewReader(bytes.NewReader(appendAnswer(nil, 9, c.a, []string{"v", "2.5"}))))
+		if err != nil || got.ID != 9 || got.Error != c.want.Error || !bytes.Equal(got.Body, c.want.Body) || len(got.Fields) != len(c.want.Fields) {
+			t.Errorf("%s: %+v, %v", name, got, err)
+		}
+		for k, v := range c.want.Fields {
+			if got.Fields[k] != v {
+				t.Errorf("%s: field %s is %q, want %q", name, k, got.Fields[k], v)
+			}
+		}
+	}
+	got, err := ReadReply(bufio.NewReader(bytes.NewReader(appendProbe(nil, 3, true, nil))))
+	if err != nil || !got.Good || got.ID != 3 {
+		t.Errorf("probe: %+v, %v", got, err)
+	}
+}
+
+// A request with a bad field is named by it, and answered: its connection holds other requests.
+func TestFields(t *testing.T) {
+	c, err := core.New(core.Config{Settings: silverpath.Settings{Cores: 1, MemoryKB: 1,
+		Classes: []silverpath.Class{{Name: "x", Deadline: time.Second}}}, MemoryMB: 16})
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := map[string]string{"i": "1", "s": "1000", "d": "500", "m": "24.5", "f": "4", "p": "0.5", "k": "key", "t": "acme"}
+	for field, value := range map[string]string{"": "", "s": "-1", "d": "x", "m": "NaN", "i": "", "p": "1", "f": "a"} {
+		fields := map[string]string{}
+		for k, v := range good {
+			fields[k] = v
+		}
+		if field != "" {
+			fields[field] = value
+		}
+		r, problem := mapRequest(message{method: "x", fields: fields}, time.Now(), c)
+		if problem != field {
+			t.Errorf("field %s=%q: problem %q", field, value, problem)
+		}
+		if field == "" && (r.Due != time.UnixMilli(1500) || r.Reached != time.UnixMilli(1000) || r.Key != "key" || r.HeldKB != 24.5) {
+			t.Errorf("request %+v", r)
+		}
+	}
+	delete(good, "d")
+	if r, problem := mapRequest(message{method: "x", fields: good}, time.Now(), c); problem != "" || r.Due != time.UnixMilli(2000) {
+		t.Errorf("without d: %q, due %v", problem, r.Due)
+	}
+}
--- /dev/null
+++ b/internal/scgi/scgi_test.go
@@ -0,0 +1,320 @@
+package scgi
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"silverpath"
+	"silverpath/internal/core"
+	"silverpath/internal/front"
+	"silverpath/internal/settings"
+	"silverpath/internal/stats"
+)
+
+// specimen is the example of the protocol's specification.
+const specimen = "70:CONTENT_LENGTH\x0027\x00SCGI\x001\x00REQUEST_METHOD\x00POST\x00REQUEST_URI\x00/deepthought\x00," +
+	"What is the answer to life?"
+
+func read(b string) (message, error) { return readMessage(bufio.NewReader(strings.NewReader(b)), 100) }
+
+func TestSpecimen(t *testing.T) {
+	m, err := read(specimen)
+	if err != nil || string(m.body) != "What is the answer to life?" || m.headers["REQUEST_URI"] != "/deepthought" {
+		t.Fatalf("%+v, %v", m, err)
+	}
+	got := appendMessage(nil, m.body, "REQUEST_METHOD", "POST", "REQUEST_URI", "/deepthought")
+	if string(got) != specimen {
+		t.Fatalf("written as %q", got)
+	}
+}
+
+// A request cut anywhere is never taken for a whole one.
+func TestCuts(t *testing.T) {
+	for n := 1; n < len(specimen); n++ {
+		if _, err := read(specimen[:n]); err != io.ErrUnexpectedEOF {
+			t.Fatalf("cut at %d: %v", n, err)
+		}
+	}
+}
+
+func netstring(s string) string { return strconv.Itoa(len(s)) + ":" + s + "," }
+
+func TestMalformed(t *testing.T) {
+	for name, c := range map[string]struct {
+		in   string
+		want error
+	}{
+		"no length":              {":,", errMalformed},
+		"a length with a sign":   {"-1:,", errMalformed},
+		"a leading zero":         {"01:x,", errMalformed},
+		"no comma":               {"1:xy", errMalformed},
+		"no headers":             {"0:,", errMalformed},
+		"no end of a header":     {netstring("CONTENT_LENGTH\x000"), errMalformed},
+		"SCGI first":             {netstring("SCGI\x001\x00CONTENT_LENGTH\x000\x00"), errMalformed},
+		"no SCGI":                {netstring("CONTENT_LENGTH\x000\x00"), errMalformed},
+		"SCGI of 2":              {netstring("CONTENT_LENGTH\x000\x00SCGI\x002\x00"), errMalformed},
+		"CONTENT_LENGTH empty":   {netstring("CONTENT_LENGTH\x00\x00SCGI\x001\x00"), errMalformed},
+		"CONTENT_LENGTH signed":  {netstring("CONTENT_LENGTH\x00+1\x00SCGI\x001\x00"), errMalformed},
+		"a header twice":         {netstring("CONTENT_LENGTH\x000\x00SCGI\x001\x00A\x001\x00A\x002\x00"), errMalformed},
+		"a header with no name":  {netstring("CONTENT_LENGTH\x000\x00SCGI\x001\x00\x00x\x00"), errMalformed},
+		"a netstring of 1 GB":    {"1000000000:", errTooLarge},
+		"a body over the limit":  {netstring("CONTENT_LENGTH\x00101\x00SCGI\x001\x00"), errTooLarge},
+		"a body beyond a number": {netstring("CONTENT_LENGTH\x00" + strings.Repeat("9", 30) + "\x00SCGI\x001\x00"), errTooLarge},
+	} {
+		if _, err := read(c.in); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+	}
+}
+
+// Garbage, from a fixed seed, ends in an error or a request within its bounds.
+func TestGarbage(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(3, 4))
+	for range 20000 {
+		b := []byte(specimen)
+		for range 1 + rnd.IntN(4) {
+			b[rnd.IntN(len(b))] = byte(rnd.Uint32())
+		}
+		if m, err := read(string(b)); err == nil && len(m.body) > 100 {
+			t.Fatalf("body of %d bytes", len(m.body))
+		}
+	}
+}
+
+func FuzzMessage(f *testing.F) {
+	f.Add(specimen)
+	f.Add(netstring("CONTENT_LENGTH\x000\x00SCGI\x001\x00"))
+	f.Fuzz(func(t *testing.T, in string) {
+		m, err := read(in)
+		if err == nil && (len(m.body) > 100 || len(m.headers) > mostHeaders || m.headers["SCGI"] != "1") {
+			t.Fatal("a request beyond its bounds")
+		}
+	})
+}
+
+func FuzzResponse(f *testing.F) {
+	f.Add("Status: 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	f.Add("Content-Type: text/plain\n\nto the end")
+	f.Fuzz(func(t *testing.T, in string) {
+		a, err := readResponse(bufio.NewReader(strings.NewReader(in)), 100)
+		if err == nil && (len(a.body) > 100 || a.status < 100 || a.status > 599) {
+			t.Fatal("an answer beyond its bounds")
+		}
+	})
+}
+
+var site = silverpath.Settings{
+	Cores: 2, MemoryKB: 20000, CrowdLimit: 8, CrowdWindow: time.Second, Advice: true, MaxAdvice: time.Second,
+	Classes: []silverpath.Class{
+		{Name: "lestvica", Aim: time.Second, Deadline: 4 * time.Second, Worth: 1},
+		{Name: "oddaja", Aim: time.Second, Deadline: 4 * time.Second, Worth: 3, Effect: silverpath.Keyed, KeyWindow: 10 * time.Second},
+	},
+}
+
+// application is a stand-in application server; it does with each connection what the test says.
+func application(t *testing.T, serve func(m message, conn net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if m, err := readMessage(bufio.NewReader(conn), 2048); err == nil {
+					serve(m, conn)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// edge is a whole service on loopback sockets: the front, the core, and an application server behind.
+func edge(t *testing.T, upstream string, timeout time.Duration) (addr string, c *core.Core, counters *stats.Counters) {
+	t.Helper()
+	quiet := log.New(io.Discard, "", 0)
+	counters = &stats.Counters{}
+	c, err := core.New(core.Config{Settings: site, MemoryMB: 32, Log: quiet, Stats: counters})
+	if err != nil {
+		t.Fatal(err)
+	}
+	up := NewUpstream(upstream, 2, 8, timeout, c, quiet, counters)
+	if err := c.Attach(up, nil); err != nil {
+		t.Fatal(err)
+	}
+	up.Keep(t.Context())
+	f := New(c, settings.SCGI{MaxBody: 64, HeldKB: 20}, 1, quiet, counters)
+	ln, err := front.Listen(Name, "127.0.0.1:0", 100, c.IdleAfter, f.Serve, quiet, counters)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go ln.Serve()
+	t.Cleanup(func() { ln.Close(); c.Stop() })
+	return ln.Addr().String(), c, counters
+}
+
+func ask(t *testing.T, addr string, raw []byte) (Reply, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(30 * time.Second))
+	if _, err := conn.Write(raw); err != nil {
+		t.Fatal(err)
+	}
+	return ReadReply(bufio.NewReader(conn))
+}
+
+// Every outcome has its status, over real sockets from the web front to the application server and back.
+func TestStatuses(t *testing.T) {
+	upstream := application(t, func(m message, conn net.Conn) {
+		switch string(m.body) {
+		case "fine":
+			conn.Write(appendResponse(nil, "200 OK", []byte("\x00result"), "text/plain"))
+		case "plain":
+			conn.Write([]byte("Content-Type: text/plain\n\nto the end"))
+		case "error":
+			conn.Write(appendResponse(nil, "500 Oops", nil, "text/plain"))
+		case "cut":
+			conn.Write([]byte("Status: 200 OK\r\nContent-Length: 50\r\n\r\nshort"))
+		case "slow":
+			io.Copy(io.Discard, conn)
+		}
+	})
+	addr, _, _ := edge(t, upstream, 30*time.Second)
+	for name, c := range map[string]struct {
+		raw    []byte
+		status int
+		body   string
+	}{
+		"served":            {AppendRequest(nil, []byte("fine"), "PATH_INFO", "/lestvica"), 200, "\x00result"},
+		"class by header":   {AppendRequest(nil, []byte("fine"), "PATH_INFO", "/x", "HTTP_X_REQUEST_CLASS", "oddaja"), 200, "\x00result"},
+		"class by URI":      {AppendRequest(nil, []byte("plain"), "REQUEST_URI", "/lestvica/7?q=1"), 200, "to the end"},
+		"failed":            {AppendRequest(nil, []byte("error"), "PATH_INFO", "/lestvica"), 502, "failed\n"},
+		"cut short":         {AppendRequest(nil, []byte("cut"), "PATH_INFO", "/lestvica"), 502, "failed\n"},
+		"out of time":       {AppendRequest(nil, []byte("slow"), "PATH_INFO", "/lestvica", "HTTP_X_TIMEOUT_MS", "300"), 504, "expired\n"},
+		"malformed":         {[]byte("x"), 400, ""},
+		"not SCGI":          {[]byte("GET / HTTP/1.1\r\n\r\n"), 400, ""},
+		"bad deadline":      {AppendRequest(nil, nil, "PATH_INFO", "/lestvica", "HTTP_X_TIMEOUT_MS", "soon"), 400, ""},
+		"bad rank":          {AppendRequest(nil, nil, "PATH_INFO", "/lestvica", "HTTP_X_RANK", "1"), 400, ""},
+		"too large":         {AppendRequest(nil, bytes.Repeat([]byte("x"), 65), "PATH_INFO", "/lestvica"), 413, ""},
+		"headers too large": {AppendRequest(nil, nil, "A", strings.Repeat("x", longestHeaders)), 413, ""},
+		"unknown class":     {AppendRequest(nil, nil, "PATH_INFO", "/nothing"), 404, ""},
+		"no class":          {AppendRequest(nil, nil), 404, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, err := ask(t, addr, c.raw)
+			if err != nil || a.Status != c.status || c.body != "" && string(a.Body) != c.body {
+				t.Fatalf("status %d, body %q, error %v; want %d, %q", a.Status, a.Body, err, c.status, c.body)
+			}
+		})
+	}
+}
+
+// A connection to the application server that breaks proves nothing, so the effect is not run again; one that
+// is refused proves that nothing ran, so the next try may.
+func TestBrokenUpstream(t *testing.T) {
+	runs := make(chan string, 10)
+	upstream := application(t, func(m message, conn net.Conn) { runs <- m.headers["HTTP_X_REQUEST_ID"] })
+	addr, _, _ := edge(t, upstream, 30*time.Second)
+	oddaja := AppendRequest(nil, []byte("x"), "PATH_INFO", "/oddaja", "HTTP_IDEMPOTENCY_KEY", "k")
+	for range 3 {
+		if a, err := ask(t, addr, oddaja); err != nil || a.Status != 502 {
+			t.Fatalf("status %d, error %v", a.Status, err)
+		}
+	}
+	if n := len(runs); n != 1 {
+		t.Fatalf("run %d times", n)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	addr, _, counters := edge(t, ln.Addr().String(), 30*time.Second)
+	for range 2 {
+		if a, err := ask(t, addr, oddaja); err != nil || a.Status != 502 {
+			t.Fatalf("status %d, error %v", a.Status, err)
+		}
+	}
+	if n := counters.Get("upstream", "unreachable"); n != 2 {
+		t.Fatalf("tried %d times, want 2: a refused connection ran nothing", n)
+	}
+}
+
+// A caller that closes only its sending half is answered where the operator says that callers do so.
+func TestHalfClose(t *testing.T) {
+	for _, half := range []bool{true, false} {
+		near, far := net.Pipe()
+		c, err := core.New(core.Config{Settings: site, MemoryMB: 32, Log: log.New(io.Discard, "", 0)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		started := make(chan string, 1)
+		if err := c.Attach(runner{c, started}, nil); err != nil {
+			t.Fatal(err)
+		}
+		counters := &stats.Counters{}
+		f := New(c, settings.SCGI{MaxBody: 64, HeldKB: 20, HalfClose: half}, 1, log.New(io.Discard, "", 0), counters)
+		done := make(chan struct{})
+		q, err := f.mapRequest(message{headers: map[string]string{"PATH_INFO": "/oddaja"}}, time.Now(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			defer close(done)
+			f.serve(far, bufio.NewReader(strings.NewReader("")), q) // the sending half has ended
+		}()
+		id := <-started
+		if half {
+			c.Ended(id, silverpath.OK, 0, []byte("done"))
+			if a, err := ReadReply(bufio.NewReader(near)); err != nil || string(a.Body) != "done" {
+				t.Fatalf("body %q, error %v", a.Body, err)
+			}
+		}
+		<-done
+		if n := counters.Get("dropped", Name); (n == 1) == half {
+			t.Fatalf("half_close %v: %d counted as dropped", half, n)
+		}
+		c.Stop()
+	}
+}
+
+type runner struct {
+	core    *core.Core
+	started chan string
+}
+
+func (r runner) Run(id, _ string, _ []byte) { r.started <- id }
+func (r runner) Resume(string, []byte)      {}
+func (r runner) Probe()                     {}
+
+func TestIDsDiffer(t *testing.T) {
+	f := New(nil, settings.SCGI{}, 7, nil, nil)
+	seen := map[string]bool{}
+	for range 10000 {
+		id := f.newID()
+		if len(id) != 16 || seen[id] {
+			t.Fatalf("id %q", id)
+		}
+		seen[id] = true
+	}
+}
