--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -26,7 +26,7 @@
 	running bool   // and its end not seen yet
 	joining bool   // waits for the result of another try
 	ask     []byte // the body of the call that the run waits for
-	started time.Time
+	read    time.Time
 	flight  *flight            // the run that this try is, or may become; keyed classes and kept reads
 	repeats *flight            // the run of another try that this one repeats
 	cancel  context.CancelFunc // gives up the call that is out
@@ -123,7 +123,7 @@
 	k, known := c.Class(r.Class)
 	full := Answer{Outcome: Refused, Wait: c.set.MaxAdvice}
 	why := ""
-	t := &task{Request: r, class: k, bell: make(chan struct{}, 1)}
+	t := &task{Request: r, class: k, read: now, bell: make(chan struct{}, 1)}
 	switch {
 	case c.tasks[r.ID] != nil:
 		why, full = "same_id", Answer{Outcome: Failed}
@@ -293,7 +293,8 @@
 	if t.word != owed {
 		return
 	}
-	c.log.Printf("backstop: %s %s is due and had no answer from the module", t.Class, t.ID)
+	c.log.Printf("backstop: %s %s is due, %v after it was read, and had no answer from the module",
+		t.Class, t.ID, time.Since(t.read).Round(time.Millisecond))
 	c.stats.Inc("backstop")
 	c.answer(t, Answer{Outcome: Expired})
 	c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Gone(now, t.ID) })
@@ -344,7 +345,7 @@
 		t.post(step{kind: ended, outcome: silverpath.Ignored})
 		return
 	}
-	t.ran, t.running, t.started = true, true, time.Now()
+	t.ran, t.running = true, true
 	t.post(step{kind: toRun})
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -26,7 +26,7 @@
 
 const (
 	heapShare = 0.6 // of the memory limit: at which the collector works harder rather than let the heap grow
-	spareFDs  = 24  // descriptors for logs, listeners, the links and the runtime
+	spareFDs  = 16  // descriptors for logs, listeners, the links and the runtime
 	// exitBefore is how long before the process is stopped it has left. The module answers what is left 100 ms
 	// before that time.
 	exitBefore = 60 * time.Millisecond
@@ -42,13 +42,17 @@
 // budget shares out the descriptors, those that the configuration needs.
 func budget(c settings.Config) Budget {
 	n := max(8, c.Sockets-spareFDs)
-	b := Budget{Platform: n * 3 / 5, Vault: n / 4, Upstream: n / 4}
+	b := Budget{Platform: n * 3 / 5} // balancers open up to half of the limit
 	if c.SCGI.Listen != "" {
-		b.SCGI = n / 4
-		b.Platform = n * 2 / 5
+		b.Platform, b.SCGI = n*2/5, n/5
 	}
 	if c.Listen == "" {
-		b.SCGI, b.Platform = b.SCGI+b.Platform, 0
+		b.Platform, b.SCGI = 0, n*3/5
+	}
+	if c.SCGI.Upstream != "" {
+		b.Upstream = n * 2 / 5
+	} else if c.Vault != "" {
+		b.Vault = n * 2 / 5
 	}
 	return b
 }
@@ -83,7 +87,7 @@
 		runner = link
 	}
 	var below core.Caller
-	if cfg.Vault != "" {
+	if cfg.Vault != "" && cfg.SCGI.Upstream == "" {
 		below = vault.New(cfg.Vault, b.Vault)
 	}
 	if err := s.core.Attach(runner, below); err != nil {
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,200 @@
+package service
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/base64"
+	"io"
+	"log"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"silverpath"
+	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/scgi"
+	"silverpath/internal/settings"
+)
+
+// interpreter is a stand-in that passes every run with the body turned into upper case, but holds back those
+// whose body says so until told.
+func interpreter(t *testing.T) (addr string, release func()) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	held := make(chan struct{})
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		var mu sync.Mutex
+		n := 0
+		say := func(kind, rest string) {
+			mu.Lock()
+			defer mu.Unlock()
+			n++
+			io.WriteString(conn, `{"type":"`+kind+`","n":`+string(rune('0'+n))+`,`+rest+"}\n")
+		}
+		for s := bufio.NewScanner(conn); s.Scan(); {
+			v := fastjson.MustParse(s.Text())
+			switch string(v.GetStringBytes("type")) {
+			case "CONNECT":
+				io.WriteString(conn, `{"type":"BANNER","state":"LOADED","took":1}`+"\n")
+			case "TOP":
+				mu.Lock()
+				io.WriteString(conn, `{"type":"TOPS","ref":"`+string(v.GetStringBytes("ref"))+`","gauges":[0,0,0,0]}`+"\n")
+				mu.Unlock()
+			case "APPLY":
+				body, _ := base64.StdEncoding.DecodeString(string(v.GetStringBytes("data")))
+				go func() {
+					if strings.HasPrefix(string(body), "hold") {
+						<-held
+					}
+					say("VALUE", `"job":"`+string(v.GetStringBytes("job"))+`","state":"PASS","took":1,"data":"`+
+						base64.StdEncoding.EncodeToString(bytes.ToUpper(body))+`"`)
+				}()
+			}
+		}
+	}()
+	return ln.Addr().String(), sync.OnceFunc(func() { close(held) })
+}
+
+func config(vm string) settings.Config {
+	return settings.Config{
+		Name: "n1", Listen: "127.0.0.1:0", VM: vm, Stop: 20 * time.Second, MemoryMB: 64, Sockets: 128,
+		Gauges: []string{"core_use", "on_cores", "heap_share", "links"},
+		SCGI:   settings.SCGI{Listen: "127.0.0.1:0", MaxBody: 64, HeldKB: 1},
+		Server: silverpath.Settings{
+			Cores: 2, MemoryKB: 10000, CrowdLimit: 8, CrowdWindow: time.Second, DrainGrace: 2 * time.Second,
+			Classes: []silverpath.Class{{Name: "krog", Aim: 10 * time.Second, Deadline: 30 * time.Second, Worth: 1}},
+		},
+	}
+}
+
+// peer is one connection of a stand-in caller.
+type peer struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, addr net.Addr, raw []byte) peer {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(30 * time.Second))
+	if _, err := conn.Write(raw); err != nil {
+		t.Fatal(err)
+	}
+	return peer{conn, bufio.NewReader(conn)}
+}
+
+// The whole program on loopback sockets: both fronts serve, the notice to leave is passed on to balancers, what
+// was read is answered, new connections are refused, and the process ends long before it would be stopped.
+func TestServeAndDrain(t *testing.T) {
+	vm, release := interpreter(t)
+	defer release()
+	s, err := New(config(vm), log.New(io.Discard, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	leave, done := make(chan struct{}), make(chan error, 1)
+	go func() { done <- s.Run(leave) }()
+	platform, second := s.Addrs()[0], s.Addrs()[1]
+
+	now := time.Now().UnixMilli()
+	call := func(id uint64, name, body string) []byte {
+		return msgpackrpc.AppendRequest(nil, id, "krog", []byte(body), "i", name, "s", strconv.FormatInt(now, 10), "d", "30000", "m", "1")
+	}
+	a := dial(t, platform, append(append(msgpackrpc.AppendProbe(nil, 1), call(2, "a1", "fast")...), call(3, "a2", "hold")...))
+	if r, err := msgpackrpc.ReadReply(a.r); err != nil || !r.Good {
+		t.Fatalf("probe: %+v, %v", r, err)
+	}
+	if r, err := msgpackrpc.ReadReply(a.r); err != nil || r.ID != 2 || string(r.Body) != "FAST" {
+		t.Fatalf("request: %+v, %v", r, err)
+	}
+	b := dial(t, second, scgi.AppendRequest(nil, []byte("web"), "PATH_INFO", "/krog"))
+	if r, err := scgi.ReadReply(b.r); err != nil || r.Status != 200 || string(r.Body) != "WEB" {
+		t.Fatalf("SCGI: %+v, %v", r, err)
+	}
+
+	close(leave)
+	if r, err := msgpackrpc.ReadReply(a.r); err != nil || r.Notification != "lastCall" {
+		t.Fatalf("in the drain: %+v, %v", r, err)
+	}
+	release()
+	if r, err := msgpackrpc.ReadReply(a.r); err != nil || r.ID != 3 || string(r.Body) != "HOLD" {
+		t.Fatalf("what was read: %+v, %v", r, err)
+	}
+	for { // the address closes soon after the notice
+		conn, err := net.Dial("tcp", platform.String())
+		if err != nil {
+			break
+		}
+		conn.Close()
+		time.Sleep(5 * time.Millisecond)
+	}
+	select {
+	case err := <-done:
+		t.Fatalf("left while a balancer is connected: %v", err)
+	default:
+	}
+	a.Close()
+	b.Close()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if n := s.Stats().Get("answered", "msgpack", "krog", "served"); n != 2 {
+		t.Errorf("%d served by msgpack, want 2", n)
+	}
+	if n := s.Stats().Get("answered", "scgi", "krog", "served"); n != 1 {
+		t.Errorf("%d served by scgi, want 1", n)
+	}
+}
+
+// An address that is taken is one plain error that names the field.
+func TestListenAddressTaken(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	for _, field := range []string{"listen", "scgi.listen"} {
+		c := config("127.0.0.1:1")
+		if field == "listen" {
+			c.Listen = ln.Addr().String()
+		} else {
+			c.SCGI.Listen = ln.Addr().String()
+		}
+		_, err := New(c, log.New(io.Discard, "", 0))
+		if err == nil || !strings.HasPrefix(err.Error(), field+": ") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("error %v, want one with the field %s", err, field)
+		}
+	}
+}
+
+// The shares of the descriptors never add up to more than there are.
+func TestBudget(t *testing.T) {
+	for _, sockets := range []int{64, 128, 1024} {
+		for _, c := range []settings.Config{{Listen: "x", Vault: "x", VM: "x"}, config("x"),
+			{SCGI: settings.SCGI{Listen: "x", Upstream: "x"}}, {Listen: "x", Vault: "x", SCGI: settings.SCGI{Listen: "x", Upstream: "x"}}} {
+			c.Sockets = sockets
+			b := budget(c)
+			if sum := b.Platform + b.SCGI + b.Vault + b.Upstream; sum > sockets-spareFDs {
+				t.Errorf("%d descriptors: %+v", sockets, b)
+			}
+		}
+	}
+}
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -126,8 +126,8 @@
 		return fmt.Errorf("stop_ms: not above 0: %v", v.Get("stop_ms"))
 	case v.Exists("limits", "memory_mb") && c.MemoryMB < 16:
 		return fmt.Errorf("limits.memory_mb: under 16: %v", c.MemoryMB)
-	case v.Exists("limits", "sockets") && c.Sockets < 32:
-		return fmt.Errorf("limits.sockets: under 32: %v", c.Sockets)
+	case v.Exists("limits", "sockets") && c.Sockets < 64:
+		return fmt.Errorf("limits.sockets: under 64: %v", c.Sockets)
 	case c.SCGI.MaxBody < 0:
 		return fmt.Errorf("scgi.max_body: negative: %v", c.SCGI.MaxBody)
 	case c.SCGI.Deadline < 0:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -50,7 +50,7 @@
 		{`"stop_ms":3200`, `"stop_ms":0`, "stop_ms: not above 0"},
 		{`"stop_ms":3200`, `"stop_ms":1.5`, "stop_ms: not a whole number"},
 		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb: under 16"},
-		{`"sockets":1024`, `"sockets":3`, "limits.sockets: under 32"},
+		{`"sockets":1024`, `"sockets":3`, "limits.sockets: under 64"},
 		{`"settings":`, `"setting":`, "settings: missing"},
 		{`"cpus":2`, `"cpus":0`, "Cores: none"},
 		{`"cpus":2`, `"cpus":"2"`, "settings.family_info.cpus: a string where a number belongs"},
