--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -20,6 +20,7 @@
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
+	"silverpath/internal/snmp"
 	"silverpath/internal/stats"
 	"silverpath/internal/vault"
 )
@@ -65,6 +66,7 @@
 	core      *core.Core
 	listeners []*front.Listener
 	keep      []func(context.Context)
+	agent     *snmp.Agent
 }
 
 // New builds a service and opens its addresses.
@@ -105,6 +107,13 @@
 			return nil, err
 		}
 	}
+	if cfg.SNMP.Listen != "" {
+		s.agent, err = snmp.Listen(cfg.SNMP.Listen, cfg.SNMP.Community, cfg.Name, s.core, l, s.stats)
+		if err != nil {
+			s.close()
+			return nil, fmt.Errorf("snmp.listen: %w", err)
+		}
+	}
 	if cfg.Announce != "" {
 		s.keep = append(s.keep, func(ctx context.Context) {
 			if err := announce.Keep(ctx, cfg.Announce, cfg.Name, s.core.Health); err != nil {
@@ -118,21 +127,29 @@
 func (s *Service) listen(field, name, addr string, most int, handle front.Handler) error {
 	ln, err := front.Listen(name, addr, most, s.core.IdleAfter, handle, s.log, s.stats)
 	if err != nil {
-		for _, l := range s.listeners {
-			l.Close()
-		}
+		s.close()
 		return fmt.Errorf("%s: %w", field, err)
 	}
 	s.listeners = append(s.listeners, ln)
 	return nil
 }
 
-// Addrs are the addresses listened on, in the order platform, SCGI.
+// close gives up the addresses of a service that does not come to run.
+func (s *Service) close() {
+	for _, l := range s.listeners {
+		l.Close()
+	}
+}
+
+// Addrs are the addresses listened on, in the order platform, SCGI, SNMP.
 func (s *Service) Addrs() []net.Addr {
 	var list []net.Addr
 	for _, l := range s.listeners {
 		list = append(list, l.Addr())
 	}
+	if s.agent != nil {
+		list = append(list, s.agent.Addr())
+	}
 	return list
 }
 
@@ -150,6 +167,10 @@
 	for _, l := range s.listeners {
 		go l.Serve()
 	}
+	if s.agent != nil {
+		go s.agent.Serve()
+		defer s.agent.Close()
+	}
 	<-leave
 	return s.drain()
 }
@@ -242,7 +263,7 @@
 	}{
 		{"MessagePack-RPC front", c.Listen, b.Platform}, {"SCGI front", c.SCGI.Listen, b.SCGI},
 		{"interpreter", c.VM, 1}, {"SCGI application server", c.SCGI.Upstream, b.Upstream},
-		{"vault", c.Vault, b.Vault}, {"announce service", c.Announce, 1},
+		{"vault", c.Vault, b.Vault}, {"announce service", c.Announce, 1}, {"SNMP agent", c.SNMP.Listen, 1},
 	} {
 		if part.addr == "" {
 			s += fmt.Sprintf("  %s: off\n", part.what)
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -25,6 +25,7 @@
 	MemoryMB float64
 	Sockets  int
 	SCGI     SCGI
+	SNMP     SNMP
 	Server   silverpath.Settings
 	Gauges   []string // the order of the gauges
 }
@@ -42,6 +43,12 @@
 	Timeout   time.Duration // after which a run upstream is taken to have failed
 }
 
+// SNMP sets up the agent, which is off while its address is empty.
+type SNMP struct {
+	Listen    string
+	Community string // the one that is answered
+}
+
 // Load reads the configuration file and lets LB_NAME and LB_LISTEN stand in for what it leaves out.
 func Load(path string) (Config, error) {
 	data, err := os.ReadFile(path)
@@ -65,7 +72,7 @@
 		return Config{}, errors.New("not a JSON object")
 	}
 	f := fields{"", v, &err}
-	limits, s := f.object("limits"), f.object("scgi")
+	limits, s, agent := f.object("limits"), f.object("scgi"), f.object("snmp")
 	c := Config{
 		Name: f.text("name"), Listen: f.text("listen"), VM: f.text("vm"), Announce: f.text("announce"),
 		Vault: f.text("vault"), Stop: time.Duration(f.integer("stop_ms")) * time.Millisecond,
@@ -78,6 +85,7 @@
 			Timeout:   time.Duration(s.integer("upstream_timeout_ms")) * time.Millisecond,
 		},
 	}
+	c.SNMP = SNMP{Listen: agent.text("listen"), Community: agent.text("community")}
 	c.Server, c.Gauges = read(f.object("settings"))
 	seed := f.text("seed")
 	if err != nil {
@@ -109,6 +117,7 @@
 		{"listen", c.Listen, c.SCGI.Listen == ""}, {"vm", c.VM, c.SCGI.Upstream == ""},
 		{"announce", c.Announce, false}, {"vault", c.Vault, false},
 		{"scgi.listen", c.SCGI.Listen, false}, {"scgi.upstream", c.SCGI.Upstream, false},
+		{"snmp.listen", c.SNMP.Listen, false},
 	} {
 		if a.addr == "" && !a.required {
 			continue
@@ -128,6 +137,8 @@
 		return fmt.Errorf("limits.memory_mb: under 16: %v", c.MemoryMB)
 	case v.Exists("limits", "sockets") && c.Sockets < 64:
 		return fmt.Errorf("limits.sockets: under 64: %v", c.Sockets)
+	case c.SNMP.Listen != "" && c.SNMP.Community == "":
+		return errors.New("snmp.community: missing")
 	case c.SCGI.MaxBody < 0:
 		return fmt.Errorf("scgi.max_body: negative: %v", c.SCGI.MaxBody)
 	case c.SCGI.Deadline < 0:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -59,6 +59,7 @@
 		{`"calls_by_class":[true,false]`, `"calls_by_class":[true]`, "settings.family_info.calls_by_class: 1 values for 2 classes"},
 		{`"stop_ms"`, `"scgi":{"listen":"x"},"stop_ms"`, "scgi.listen: not an address"},
 		{`"stop_ms"`, `"scgi":{"held_kb":-1},"stop_ms"`, "scgi.held_kb"},
+		{`"stop_ms"`, `"snmp":{"listen":"127.0.0.1:1161"},"stop_ms"`, "snmp.community: missing"},
 		{`"stop_ms"`, `"scgi":{"half_close":1},"stop_ms"`, "scgi.half_close: neither true nor false"},
 	} {
 		text := strings.Replace(config, c.old, c.new, 1)
--- /dev/null
+++ b/internal/snmp/agent.go
@@ -0,0 +1,305 @@
+package snmp
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"silverpath/internal/core"
+	"silverpath/internal/stats"
+)
+
+// root is where the MIB hangs: below the enterprise number that RFC 5612 sets aside for documentation, until
+// the operator has one of its own.
+var root = oid{1, 3, 6, 1, 4, 1, 32473, 1}
+
+// The objects of the MIB.
+var (
+	objectName     = root.with(1, 1, 0)
+	objectPhase    = root.with(1, 2, 0)
+	objectUpTime   = root.with(1, 3, 0)
+	objectOwed     = root.with(1, 4, 0)
+	objectHealth   = root.with(1, 5, 0)
+	columnCounters = root.with(2, 1, 2)
+)
+
+const (
+	version2c   = 1
+	largest     = 1400 // bytes of a response: one packet on any path
+	longestName = 100  // of a counter, as an index
+	mostRepeats = 200
+
+	errTooBig      = 1
+	errNotWritable = 17
+)
+
+// Agent answers SNMP requests.
+type Agent struct {
+	conn      net.PacketConn
+	community string
+	name      string
+	core      *core.Core
+	stats     *stats.Counters
+	log       *log.Logger
+	began     time.Time
+}
+
+// Listen opens an agent's address.
+func Listen(addr, community, name string, c *core.Core, l *log.Logger, s *stats.Counters) (*Agent, error) {
+	conn, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Agent{conn: conn, community: community, name: name, core: c, stats: s, log: l, began: time.Now()}, nil
+}
+
+// Addr is the address listened on.
+func (a *Agent) Addr() net.Addr { return a.conn.LocalAddr() }
+
+// Close ends Serve.
+func (a *Agent) Close() { a.conn.Close() }
+
+// Serve answers requests until Close. What is malformed, of another version or for another community gets no
+// answer, as the protocol has it, and is counted.
+func (a *Agent) Serve() {
+	b := make([]byte, 64<<10)
+	for {
+		n, peer, err := a.conn.ReadFrom(b)
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				a.log.Printf("snmp: reading: %v", err)
+				time.Sleep(100 * time.Millisecond)
+				continue
+			}
+			return
+		}
+		reply, why := a.answer(b[:n])
+		if reply == nil {
+			a.stats.Inc("snmp", why)
+			continue
+		}
+		a.stats.Inc("snmp", "answered")
+		if _, err := a.conn.WriteTo(reply, peer); err != nil {
+			a.stats.Inc("snmp", "write_failed")
+		}
+	}
+}
+
+// request is a message that asks for something.
+type request struct {
+	kind      byte
+	id        int32
+	first     int32 // GetBulk: the names asked for once
+	repeats   int32 // and how often the others are
+	names     []oid
+	community string
+}
+
+func parse(b []byte) (q request, version int32, err error) {
+	fail := func(err error) (request, int32, error) { return request{}, version, err }
+	b, _, err = want(b, tagSequence)
+	if err != nil {
+		return fail(err)
+	}
+	if version, b, err = wantInteger(b); err != nil {
+		return fail(err)
+	}
+	community, b, err := want(b, tagString)
+	if err != nil {
+		return fail(err)
+	}
+	q.community = string(community)
+	pdu, _, err := next(b)
+	if err != nil {
+		return fail(err)
+	}
+	q.kind, b = pdu.tag, pdu.body
+	for _, n := range []*int32{&q.id, &q.first, &q.repeats} {
+		if *n, b, err = wantInteger(b); err != nil {
+			return fail(err)
+		}
+	}
+	if b, _, err = want(b, tagSequence); err != nil {
+		return fail(err)
+	}
+	for len(b) > 0 {
+		var bind []byte
+		if bind, b, err = want(b, tagSequence); err != nil {
+			return fail(err)
+		}
+		name, rest, err := wantOID(bind)
+		if err != nil {
+			return fail(err)
+		}
+		if _, _, err := next(rest); err != nil {
+			return fail(err)
+		}
+		q.names = append(q.names, name)
+	}
+	return q, version, nil
+}
+
+// answer returns the response to a message, or why there is none.
+func (a *Agent) answer(b []byte) (reply []byte, why string) {
+	q, version, err := parse(b)
+	switch {
+	case err != nil:
+		return nil, "malformed"
+	case version != version2c:
+		return nil, "bad_version"
+	case q.community != a.community:
+		return nil, "bad_community"
+	}
+	var binds [][]byte
+	objects := a.objects()
+	switch q.kind {
+	case tagGet:
+		for _, name := range q.names {
+			binds = append(binds, get(objects, name))
+		}
+	case tagGetNext:
+		for _, name := range q.names {
+			bind, _ := following(objects, name)
+			binds = append(binds, bind)
+		}
+	case tagGetBulk:
+		binds = bulk(objects, q)
+	case tagSet:
+		return q.response(errNotWritable, min(1, len(q.names)), q.echo()), ""
+	default:
+		return nil, "bad_request"
+	}
+	for {
+		reply := q.response(0, 0, binds)
+		switch {
+		case len(reply) <= largest:
+			return reply, ""
+		case q.kind != tagGetBulk || len(binds) == 0:
+			return q.response(errTooBig, 0, nil), ""
+		}
+		binds = binds[:len(binds)*3/4]
+	}
+}
+
+// echo is what was asked, unchanged but for the values.
+func (q request) echo() [][]byte {
+	var binds [][]byte
+	for _, name := range q.names {
+		binds = append(binds, bind(name, appendElement(nil, tagNull, nil)))
+	}
+	return binds
+}
+
+func (q request) response(status, index int, binds [][]byte) []byte {
+	pdu := appendInteger(nil, q.id)
+	pdu = appendInteger(appendInteger(pdu, int32(status)), int32(index))
+	pdu = appendElement(pdu, tagSequence, slices.Concat(binds...))
+	m := appendElement(appendInteger(nil, version2c), tagString, []byte(q.community))
+	return appendElement(nil, tagSequence, appendElement(m, tagResponse, pdu))
+}
+
+// object is one instance of the MIB with its value, encoded.
+type object struct {
+	name  oid
+	value []byte
+}
+
+func bind(name oid, value []byte) []byte {
+	return appendElement(nil, tagSequence, append(appendOID(nil, name), value...))
+}
+
+func compare(o object, name oid) int { return o.name.compare(name) }
+
+func get(objects []object, name oid) []byte {
+	if i, found := slices.BinarySearchFunc(objects, name, compare); found {
+		return bind(name, objects[i].value)
+	}
+	for _, o := range objects { // a name under a known object lacks only the instance
+		if parent := o.name[:len(root)+2]; len(name) >= len(parent) && name[:len(parent)].compare(parent) == 0 {
+			return bind(name, appendElement(nil, tagNoSuchInstance, nil))
+		}
+	}
+	return bind(name, appendElement(nil, tagNoSuchObject, nil))
+}
+
+// following is the object after a name, and its own name.
+func following(objects []object, name oid) ([]byte, oid) {
+	i, found := slices.BinarySearchFunc(objects, name, compare)
+	if found {
+		i++
+	}
+	if i == len(objects) {
+		return bind(name, appendElement(nil, tagEndOfMibView, nil)), nil
+	}
+	return bind(objects[i].name, objects[i].value), objects[i].name
+}
+
+func bulk(objects []object, q request) [][]byte {
+	var binds [][]byte
+	once := min(len(q.names), int(max(0, q.first)))
+	for _, name := range q.names[:once] {
+		bind, _ := following(objects, name)
+		binds = append(binds, bind)
+	}
+	names := slices.Clone(q.names[once:])
+	for range min(mostRepeats, max(0, q.repeats)) {
+		more := false
+		for i, name := range names {
+			bind, at := following(objects, name)
+			if binds = append(binds, bind); at != nil {
+				names[i], more = at, true
+			}
+			if len(binds) > mostRepeats {
+				return binds
+			}
+		}
+		if !more {
+			break
+		}
+	}
+	return binds
+}
+
+// objects is the whole MIB as it is now, in the order of names.
+func (a *Agent) objects() []object {
+	health := int32(2) // TruthValue
+	if a.core.Health() {
+		health = 1
+	}
+	list := []object{
+		{objectName, appendElement(nil, tagString, []byte(a.name))},
+		{objectPhase, appendInteger(nil, int32(a.core.Phase())+1)},
+		{objectUpTime, appendUnsigned(nil, tagTimeTicks, uint64(time.Since(a.began)/(10*time.Millisecond))&(1<<32-1))},
+		{objectOwed, appendUnsigned(nil, tagGauge32, uint64(max(0, a.core.Owed())))},
+		{objectHealth, appendInteger(nil, health)},
+	}
+	counters := a.stats.Snapshot()
+	for _, name := range slices.Sorted(maps.Keys(counters)) {
+		if len(name) > longestName {
+			name = name[:longestName] // an index has its bounds; no name of ours is so long
+			if _, twice := counters[name]; twice {
+				continue
+			}
+		}
+		index := columnCounters
+		for _, c := range []byte(name) {
+			index = index.with(uint32(c))
+		}
+		list = append(list, object{index, appendUnsigned(nil, tagCounter64, counters[name])})
+	}
+	slices.SortFunc(list, func(x, y object) int { return x.name.compare(y.name) })
+	return list
+}
+
+// String is a name in the usual dotted form.
+func (o oid) String() string {
+	s := ""
+	for _, n := range o {
+		s += fmt.Sprintf(".%d", n)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/snmp/ber.go
@@ -0,0 +1,186 @@
+// Package snmp is a read-only SNMPv2c agent (RFC 3416) with a MIB of its own, docs/SILVERPATH-MIB.txt. It reports
+// the service's counters and nothing can be set through it.
+package snmp
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// The tags in use, of X.690 and RFC 3416.
+const (
+	tagInteger   = 0x02
+	tagString    = 0x04
+	tagNull      = 0x05
+	tagOID       = 0x06
+	tagSequence  = 0x30
+	tagGauge32   = 0x42
+	tagTimeTicks = 0x43
+	tagCounter64 = 0x46
+
+	tagNoSuchObject   = 0x80
+	tagNoSuchInstance = 0x81
+	tagEndOfMibView   = 0x82
+
+	tagGet      = 0xa0
+	tagGetNext  = 0xa1
+	tagResponse = 0xa2
+	tagSet      = 0xa3
+	tagGetBulk  = 0xa5
+)
+
+const longestOID = 128 // sub-identifiers, as RFC 3416 has it
+
+var errMalformed = errors.New("malformed message")
+
+// oid is an object identifier.
+type oid []uint32
+
+func (o oid) compare(p oid) int { return slices.CompareFunc(o, p, cmp.Compare[uint32]) }
+
+func (o oid) with(more ...uint32) oid { return append(slices.Clone(o), more...) }
+
+// element is one BER element.
+type element struct {
+	tag  byte
+	body []byte
+}
+
+// next takes the first element off b.
+func next(b []byte) (element, []byte, error) {
+	if len(b) < 2 || b[0]&0x1f == 0x1f {
+		return element{}, nil, fmt.Errorf("%w: an element cut short", errMalformed)
+	}
+	n, rest := int(b[1]), b[2:]
+	if n&0x80 != 0 {
+		size := n & 0x7f
+		if size == 0 || size > 3 || len(rest) < size {
+			return element{}, nil, fmt.Errorf("%w: a length of %d bytes", errMalformed, size)
+		}
+		n = 0
+		for _, c := range rest[:size] {
+			n = n<<8 | int(c)
+		}
+		rest = rest[size:]
+	}
+	if n > len(rest) {
+		return element{}, nil, fmt.Errorf("%w: an element of %d bytes, %d left", errMalformed, n, len(rest))
+	}
+	return element{b[0], rest[:n]}, rest[n:], nil
+}
+
+// want takes an element of a given tag.
+func want(b []byte, tag byte) ([]byte, []byte, error) {
+	e, rest, err := next(b)
+	if err == nil && e.tag != tag {
+		err = fmt.Errorf("%w: tag %#02x where %#02x belongs", errMalformed, e.tag, tag)
+	}
+	return e.body, rest, err
+}
+
+func wantInteger(b []byte) (int32, []byte, error) {
+	v, rest, err := want(b, tagInteger)
+	if err != nil {
+		return 0, nil, err
+	}
+	if len(v) == 0 || len(v) > 4 {
+		return 0, nil, fmt.Errorf("%w: an integer of %d bytes", errMalformed, len(v))
+	}
+	n := int32(int8(v[0]))
+	for _, c := range v[1:] {
+		n = n<<8 | int32(c)
+	}
+	return n, rest, nil
+}
+
+func wantOID(b []byte) (oid, []byte, error) {
+	v, rest, err := want(b, tagOID)
+	if err != nil {
+		return nil, nil, err
+	}
+	var o oid
+	n, open := uint64(0), false
+	for _, c := range v {
+		n, open = n<<7|uint64(c&0x7f), c&0x80 != 0
+		if n > 1<<32-1 || len(o) >= longestOID {
+			return nil, nil, fmt.Errorf("%w: an object identifier out of bounds", errMalformed)
+		}
+		if open {
+			continue
+		}
+		if o == nil {
+			first := min(n/40, 2)
+			o = append(o, uint32(first), uint32(n-40*first))
+		} else {
+			o = append(o, uint32(n))
+		}
+		n = 0
+	}
+	if open || o == nil {
+		return nil, nil, fmt.Errorf("%w: an object identifier cut short", errMalformed)
+	}
+	return o, rest, nil
+}
+
+// appendElement appends an element.
+func appendElement(b []byte, tag byte, body []byte) []byte {
+	b = append(b, tag)
+	switch n := len(body); {
+	case n < 0x80:
+		b = append(b, byte(n))
+	case n <= 0xff:
+		b = append(b, 0x81, byte(n))
+	default: // no message of ours reaches 64 KiB
+		b = append(b, 0x82, byte(n>>8), byte(n))
+	}
+	return append(b, body...)
+}
+
+func appendInteger(b []byte, n int32) []byte { return appendElement(b, tagInteger, shortest(int64(n))) }
+
+// appendUnsigned appends a number of one of the unsigned types.
+func appendUnsigned(b []byte, tag byte, n uint64) []byte {
+	v := shortest(int64(n))
+	if n>>63 != 0 { // as a signed number it would be negative
+		v = append([]byte{0}, v...)
+		for len(v) < 9 {
+			v = slices.Insert(v, 1, 0xff)
+		}
+	}
+	return appendElement(b, tag, v)
+}
+
+// shortest is a number in two's complement in as few bytes as hold it.
+func shortest(n int64) []byte {
+	v := []byte{byte(n >> 56), byte(n >> 48), byte(n >> 40), byte(n >> 32), byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}
+	for len(v) > 1 && (v[0] == 0 && v[1] < 0x80 || v[0] == 0xff && v[1] >= 0x80) {
+		v = v[1:]
+	}
+	return v
+}
+
+func appendOID(b []byte, o oid) []byte {
+	var v []byte
+	sub := func(n uint64) {
+		var part []byte
+		for first := true; first || n > 0; first = false {
+			c := byte(n & 0x7f)
+			if !first {
+				c |= 0x80
+			}
+			part = append(part, c)
+			n >>= 7
+		}
+		slices.Reverse(part)
+		v = append(v, part...)
+	}
+	if len(o) >= 2 {
+		sub(uint64(o[0])*40 + uint64(o[1]))
+		for _, n := range o[2:] {
+			sub(uint64(n))
+		}
+	}
+	return appendElement(b, tagOID, v)
+}
--- /dev/null
+++ b/internal/snmp/snmp_test.go
@@ -0,0 +1,223 @@
+package snmp
+
+import (
+	"bytes"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"silverpath"
+	"silverpath/internal/core"
+	"silverpath/internal/stats"
+)
+
+// ask is a request as a manager sends it, byte by byte from RFC 3416.
+func ask(kind byte, id, first, repeats int32, names ...oid) []byte {
+	var binds []byte
+	for _, n := range names {
+		binds = append(binds, bind(n, []byte{tagNull, 0})...)
+	}
+	pdu := appendInteger(appendInteger(appendInteger(nil, id), first), repeats)
+	pdu = appendElement(pdu, tagSequence, binds)
+	m := appendElement([]byte{tagInteger, 1, version2c}, tagString, []byte("quiz"))
+	return appendElement(nil, tagSequence, appendElement(m, kind, pdu))
+}
+
+// answered is one name and its value in a response.
+type answered struct {
+	name  oid
+	value element
+}
+
+// read takes a response apart.
+func read(t *testing.T, b []byte, id int32) (status, index int32, list []answered) {
+	t.Helper()
+	q, version, err := parse(b)
+	if err != nil || version != version2c || q.kind != tagResponse || q.id != id || q.community != "quiz" {
+		t.Fatalf("%+v, %v", q, err)
+	}
+	b, _, _ = want(b, tagSequence)
+	_, b, _ = wantInteger(b)
+	_, b, _ = want(b, tagString)
+	b, _, _ = want(b, tagResponse)
+	for range 3 {
+		_, b, _ = wantInteger(b)
+	}
+	b, _, _ = want(b, tagSequence)
+	for len(b) > 0 {
+		var one []byte
+		one, b, _ = want(b, tagSequence)
+		name, rest, _ := wantOID(one)
+		v, _, _ := next(rest)
+		list = append(list, answered{name, v})
+	}
+	return q.first, q.repeats, list
+}
+
+func agent(t *testing.T) *Agent {
+	t.Helper()
+	s, quiet := &stats.Counters{}, log.New(io.Discard, "", 0)
+	c, err := core.New(core.Config{Settings: silverpath.Settings{Cores: 1, MemoryKB: 1,
+		Classes: []silverpath.Class{{Name: "x", Deadline: time.Second}}}, MemoryMB: 16, Log: quiet, Stats: s})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := Listen("127.0.0.1:0", "quiz", "n3", c, quiet, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.Close)
+	s.Add(300, "read.msgpack.krog")
+	s.Add(1<<63, "read.msgpack.oddaja")
+	return a
+}
+
+func counter(name string) oid {
+	o := columnCounters
+	for _, c := range []byte(name) {
+		o = o.with(uint32(c))
+	}
+	return o
+}
+
+func TestGet(t *testing.T) {
+	a := agent(t)
+	reply, _ := a.answer(ask(tagGet, 77, 0, 0, objectName, objectPhase, counter("read.msgpack.krog"), counter("none"), root.with(9)))
+	status, _, list := read(t, reply, 77)
+	want := []element{{tagString, []byte("n3")}, {tagInteger, []byte{1}}, {tagCounter64, []byte{1, 44}},
+		{tagNoSuchInstance, nil}, {tagNoSuchObject, nil}}
+	if status != 0 || len(list) != len(want) {
+		t.Fatalf("status %d, %d values", status, len(list))
+	}
+	for i, w := range want {
+		if got := list[i].value; got.tag != w.tag || !bytes.Equal(got.body, w.body) {
+			t.Errorf("%v: %#x %x, want %#x %x", list[i].name, got.tag, got.body, w.tag, w.body)
+		}
+	}
+}
+
+// A walk from the root meets every object once, in order, and comes to the end of the view.
+func TestWalk(t *testing.T) {
+	a := agent(t)
+	at, seen := root, 0
+	for ; ; seen++ {
+		reply, _ := a.answer(ask(tagGetNext, 1, 0, 0, at))
+		_, _, list := read(t, reply, 1)
+		if list[0].value.tag == tagEndOfMibView {
+			break
+		}
+		if list[0].name.compare(at) <= 0 {
+			t.Fatalf("%v follows %v", list[0].name, at)
+		}
+		at = list[0].name
+	}
+	if seen != 7 || at.compare(counter("read.msgpack.oddaja")) != 0 {
+		t.Fatalf("%d objects, the last %v", seen, at)
+	}
+	reply, _ := a.answer(ask(tagGetBulk, 2, 1, 50, objectName, root))
+	_, _, list := read(t, reply, 2)
+	if len(list) != 9 || list[0].name.compare(objectPhase) != 0 || list[8].value.tag != tagEndOfMibView {
+		t.Fatalf("bulk: %d values", len(list))
+	}
+	if v := list[7].value; !bytes.Equal(v.body, []byte{0, 128, 0, 0, 0, 0, 0, 0, 0}) {
+		t.Errorf("a counter of 2^63 is %x", v.body)
+	}
+}
+
+// A response keeps to one packet: a bulk of many counters is cut, a plain request is told that it asks too much.
+func TestLargeResponses(t *testing.T) {
+	a := agent(t)
+	var names []oid
+	for i := range 150 {
+		a.stats.Inc("some.long.name.of.a.counter", string(rune('a'+i%26)), string(rune('a'+i/26)))
+		names = append(names, objectName.with(uint32(i), 1<<31, 1<<31, 1<<31))
+	}
+	reply, _ := a.answer(ask(tagGetBulk, 3, 0, 200, root))
+	if _, _, list := read(t, reply, 3); len(reply) > largest || len(list) < 10 {
+		t.Errorf("bulk: %d bytes, %d values", len(reply), len(list))
+	}
+	reply, _ = a.answer(ask(tagGet, 4, 0, 0, names...))
+	if status, _, _ := read(t, reply, 4); status != errTooBig {
+		t.Errorf("status %d, want tooBig", status)
+	}
+}
+
+func TestNothingCanBeSet(t *testing.T) {
+	reply, _ := agent(t).answer(ask(tagSet, 5, 0, 0, objectName))
+	if status, index, _ := read(t, reply, 5); status != errNotWritable || index != 1 {
+		t.Errorf("status %d, index %d", status, index)
+	}
+}
+
+func TestUnanswered(t *testing.T) {
+	a, good := agent(t), ask(tagGet, 6, 0, 0, objectName)
+	version1 := bytes.Clone(good)
+	version1[4] = 0
+	for why, b := range map[string][]byte{
+		"malformed": good[:20], "bad_version": version1,
+		"bad_community": bytes.Replace(good, []byte("quiz"), []byte("quid"), 1), "bad_request": ask(0xa4, 1, 0, 0),
+	} {
+		if reply, got := a.answer(b); reply != nil || got != why {
+			t.Errorf("%s: reply %x, why %q", why, reply, got)
+		}
+	}
+	rnd := rand.New(rand.NewPCG(7, 8))
+	for range 20000 { // garbage, from a fixed seed, is passed over or answered, within bounds
+		b := bytes.Clone(good)
+		for range 1 + rnd.IntN(4) {
+			b[rnd.IntN(len(b))] = byte(rnd.Uint32())
+		}
+		if reply, _ := a.answer(b); len(reply) > largest {
+			t.Fatalf("a response of %d bytes", len(reply))
+		}
+	}
+	for n := range len(good) {
+		if reply, why := a.answer(good[:n]); reply != nil || why != "malformed" {
+			t.Errorf("cut at %d: %x, %q", n, reply, why)
+		}
+	}
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add(ask(tagGet, 1, 0, 0, objectName))
+	f.Add(ask(tagGetBulk, 1, 0, 10, root))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a := &Agent{community: "quiz", core: mustCore(t), stats: &stats.Counters{}}
+		if reply, _ := a.answer(b); len(reply) > largest {
+			t.Fatalf("a response of %d bytes", len(reply))
+		}
+	})
+}
+
+func mustCore(t *testing.T) *core.Core {
+	c, err := core.New(core.Config{MemoryMB: 16})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// The agent answers a manager over UDP.
+func TestServe(t *testing.T) {
+	a := agent(t)
+	go a.Serve()
+	conn, err := net.Dial("udp", a.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.Write([]byte("garbage"))
+	conn.Write(ask(tagGet, 9, 0, 0, objectName))
+	conn.SetReadDeadline(time.Now().Add(30 * time.Second))
+	b := make([]byte, 2000)
+	n, err := conn.Read(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, list := read(t, b[:n], 9); string(list[0].value.body) != "n3" {
+		t.Fatalf("%+v", list)
+	}
+}
