Answer at once what is due as it is read; evict idle connections only for one that came

Ruled out a late tick: with the time since reading added to the line, all of them read 0 s, so the callers' patience was over (within 20 ms) when the request was read. The module's plan starts such a request where there is room, since its next look at due times is a tick away. core.arrive now answers it without running it; a repeat of what ran still gets its result, which takes no time.

A test of the connection budget found that a full table closed its longest idle connection before any newcomer had come (front.Serve made room before Accept). It makes room once one is there.

Class names off the wire are no longer counters' names: a peer could have made any number of them.

--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -116,11 +116,15 @@
 // arrive takes a request in and tells the module. It returns nil, and the answer, for what the core itself
 // can't take: those bounds keep the process alive and are far from what the module allows.
 func (c *Core) arrive(r Request) (*task, Answer) {
-	c.stats.Inc("read", r.Front, r.Class)
+	k, known := c.Class(r.Class)
+	name := r.Class
+	if !known {
+		name = "unknown" // counters are bounded, what comes off a wire is not
+	}
+	c.stats.Inc("read", r.Front, name)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	k, known := c.Class(r.Class)
 	full := Answer{Outcome: Refused, Wait: c.set.MaxAdvice}
 	why := ""
 	t := &task{Request: r, class: k, read: now, bell: make(chan struct{}, 1)}
@@ -135,10 +139,14 @@
 		why, full = "unknown_class", Answer{Outcome: Refused, Final: true}
 	case !c.keys.enter(t, c.set.FreshFor, now):
 		why = "keys_full"
+	case t.repeats == nil && r.Due.Sub(now) <= backstop:
+		// Due as it is read: the module has no tick left to answer it in, and would start it where there is room.
+		why, full = "due", Answer{Outcome: Expired}
+		c.release(t)
 	}
 	if why != "" {
 		c.stats.Inc("turned_away", r.Front, why)
-		c.stats.Inc("answered", r.Front, r.Class, full.Outcome.String())
+		c.stats.Inc("answered", r.Front, name, full.Outcome.String())
 		return nil, full
 	}
 	c.tasks[r.ID] = t
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -97,7 +97,6 @@
 	defer close(done)
 	go l.sweep(done)
 	for {
-		l.room()
 		conn, err := l.ln.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
@@ -109,6 +108,7 @@
 			continue
 		}
 		l.stats.Inc("connections", l.name)
+		l.room() // only now, so that no idle connection is closed for one that may never come
 		s := &Slot{owner: l, conn: conn, since: time.Now()}
 		l.mu.Lock()
 		l.slots[s] = true
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -359,6 +359,15 @@
 		default:
 		}
 	}},
+	{"what is due as it is read is answered at once and not run", func(e *edge) {
+		e.one(e.send(try{class: "oddaja", key: "k", body: "x", wait: 15 * time.Millisecond}), core.Failed, "")
+		e.one(e.send(try{class: "lestvica", body: "y", wait: time.Millisecond}), core.Failed, "")
+		e.ran()
+		a := e.send(try{class: "oddaja", key: "k", body: "x"}) // nothing of it ran
+		e.end(e.ran("x")[0], silverpath.OK, "done")
+		e.one(a, core.Served, "done")
+		e.one(e.send(try{class: "oddaja", key: "k", body: "x", wait: 15 * time.Millisecond}), core.Served, "done")
+	}},
 	{"a run that ended late serves the retry", func(e *edge) {
 		c := e.send(try{class: "oddaja", key: "k", body: "x", wait: time.Second})
 		r := e.ran("x")[0]
