Share the tests' in-memory listener; check the crowd on the cores in the rule suite

The race detector over all packages found one race, in the vault test's own look at the client's table, which now takes its lock.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -9,32 +9,15 @@
 	"testing/synctest"
 	"time"
 
+	"silverpath/internal/pipes"
 	"silverpath/internal/stats"
 )
 
-// pipes is a listener whose connections are pipes in memory.
-type pipes struct {
-	conns chan net.Conn
-	once  sync.Once
-	done  chan struct{}
-}
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.conns:
-		return c, nil
-	case <-p.done:
-		return nil, net.ErrClosed
-	}
-}
-func (p *pipes) Close() error   { p.once.Do(func() { close(p.done) }); return nil }
-func (p *pipes) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
-
 // play runs a test on a listener of at most two connections. Its handler reads until the end; a byte opens
 // requests, as many as the byte says.
 func play(t *testing.T, idle time.Duration, test func(l *Listener, dial func() net.Conn, left func() int)) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &pipes{conns: make(chan net.Conn, 8), done: make(chan struct{})}
+		p := pipes.Listen()
 		var mu sync.Mutex
 		asked := 0
 		handle := func(conn net.Conn, s *Slot) {
@@ -53,9 +36,8 @@
 		go l.Serve()
 		var all []net.Conn
 		test(l, func() net.Conn {
-			near, far := net.Pipe()
+			near := p.Dial()
 			all = append(all, near)
-			p.conns <- far
 			synctest.Wait()
 			return near
 		}, func() int {
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -21,6 +21,7 @@
 	"silverpath/internal/core"
 	"silverpath/internal/front"
 	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/pipes"
 	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
 	"silverpath/internal/stats"
@@ -183,24 +184,6 @@
 	return slices.Clone(v.calls)
 }
 
-// pipes is a listener whose connections are pipes in memory, so that time is the test's own.
-type pipes struct {
-	conns chan net.Conn
-	once  sync.Once
-	done  chan struct{}
-}
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.conns:
-		return c, nil
-	case <-p.done:
-		return nil, net.ErrClosed
-	}
-}
-func (p *pipes) Close() error   { p.once.Do(func() { close(p.done) }); return nil }
-func (p *pipes) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
-
 const (
 	deadline = 4 * time.Second
 	window   = 10 * time.Second
@@ -228,7 +211,7 @@
 	vault   *vault
 	log     *log.Logger
 	stats   *stats.Counters
-	pipes   *pipes
+	pipes   *pipes.Listener
 	ln      *front.Listener
 	callers []*caller
 	seq     int
@@ -245,10 +228,9 @@
 
 func (e *edge) raw(b []byte) *caller {
 	e.t.Helper()
-	near, far := net.Pipe()
+	near := e.pipes.Dial()
 	c := &caller{conn: near, replies: make(chan reply, 8)}
 	e.callers = append(e.callers, c)
-	e.pipes.conns <- far
 	go near.Write(b)
 	go func() {
 		defer close(c.replies)
@@ -505,7 +487,11 @@
 		if refused == 0 {
 			e.t.Fatal("nothing of 60 requests on 2 cores was refused")
 		}
-		for _, r := range e.engine.seen() {
+		runs := e.engine.seen()
+		if most := site.Cores * int(site.CrowdLimit); len(runs) == 0 || len(runs) > most {
+			e.t.Fatalf("%d runs at once, the server survives %d", len(runs), most)
+		}
+		for _, r := range runs {
 			e.end(r, silverpath.OK, "")
 		}
 		e.pass(deadline)
@@ -596,7 +582,7 @@
 func play(t *testing.T, d driver, test func(*edge)) {
 	e := &edge{
 		t: t, driver: d, log: log.New(io.Discard, "", 0), stats: &stats.Counters{}, vault: &vault{},
-		pipes: &pipes{conns: make(chan net.Conn), done: make(chan struct{})},
+		pipes: pipes.Listen(),
 	}
 	var err error
 	e.core, err = core.New(core.Config{Settings: site, MemoryMB: 64, Log: e.log, Stats: e.stats})
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -119,6 +119,8 @@
 			t.Fatalf("the first call: %v after %v", got, time.Since(began))
 		}
 		time.Sleep(time.Minute)
+		b.mu.Lock()
+		defer b.mu.Unlock()
 		if len(b.calls) != 0 {
 			t.Fatalf("%d calls are remembered", len(b.calls))
 		}
@@ -147,7 +149,10 @@
 			time.Sleep(2 * time.Second)
 		}
 		time.Sleep(7 * time.Second)
-		if len(b.idle) != 0 {
+		b.mu.Lock()
+		idle := len(b.idle)
+		b.mu.Unlock()
+		if idle != 0 {
 			t.Fatal("a connection idles for 9 s")
 		}
 		if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
