Notice an interpreter that restarts without the service

BANNER tells how long ago the interpreter started; one that started after the link broke fails what was sent to the old one, which may have had its effect, and is heard from 1 on.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// Name is the front's name.
+func (l *Listener) Name() string { return l.name }
+
 // Addr is the address listened on.
 func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
 
--- a/internal/interp/interp.go
+++ b/internal/interp/interp.go
@@ -53,9 +53,13 @@
 	bell  chan struct{}
 	live  bool // the notices missed by this link have all been read
 	last  int64
+	down  time.Time // when the last live link broke
 }
 
-type job struct{ apply []byte }
+type job struct {
+	apply []byte
+	sent  bool
+}
 
 type command struct {
 	line    []byte
@@ -85,7 +89,7 @@
 	line := object("type", "APPLY", "job", id, "kind", class, "data", base64.StdEncoding.EncodeToString(body))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.jobs[id] = &job{apply: line}
+	l.jobs[id] = &job{line, l.live}
 	if l.live {
 		l.send(command{line: line})
 	}
@@ -165,7 +169,9 @@
 	<-written
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.live = false
+	if l.live {
+		l.live, l.down = false, time.Now()
+	}
 	// What was not written goes out on the next link: replies as they are, runs by being started anew there.
 	kept := l.queue[:0]
 	for _, c := range l.queue {
@@ -285,6 +291,7 @@
 	switch kind {
 	case "BANNER":
 		l.log.Printf("interpreter up: %s, started %d ms ago", v.GetStringBytes("state"), v.GetInt64("took"))
+		l.restarted(time.Duration(v.GetInt64("took")) * time.Millisecond)
 		return write(conn, object("type", "TOP", "ref", syncRef))
 	case "TOPS":
 		if string(v.GetStringBytes("ref")) == syncRef {
@@ -314,6 +321,31 @@
 	return nil
 }
 
+// restarted is told how long ago the interpreter started. One that started after the last link broke knows no run
+// of ours and numbers its notices anew: what was started on the old one may have had its effect and has no end
+// any more, so it fails; starting it again could run an effect twice.
+func (l *Link) restarted(ago time.Duration) {
+	l.mu.Lock()
+	var lost []string
+	if !l.down.IsZero() && ago < time.Since(l.down) {
+		l.last = 0
+		l.queue = nil // replies to calls of runs that are gone
+		for id, j := range l.jobs {
+			if j.sent {
+				lost = append(lost, id)
+			}
+		}
+	}
+	l.mu.Unlock()
+	if len(lost) > 0 {
+		l.stats.Add(uint64(len(lost)), "interpreter", "runs_lost")
+		l.log.Printf("interpreter restarted: %d runs are lost", len(lost))
+	}
+	for _, id := range lost {
+		l.ended(id, silverpath.Failed, 0, nil)
+	}
+}
+
 // resume makes a link live: every notice of former links has been read, so a run without an end either goes on
 // there, and starting it again does nothing, or its start was lost.
 func (l *Link) resume() {
@@ -326,6 +358,7 @@
 	replies := l.queue
 	l.queue = nil
 	for _, j := range l.jobs {
+		j.sent = true
 		l.queue = append(l.queue, command{line: j.apply})
 	}
 	l.queue = append(l.queue, replies...)
--- a/internal/interp/interp_test.go
+++ b/internal/interp/interp_test.go
@@ -176,7 +176,7 @@
 		h.take()
 		m = next()
 		m.reads(`{"type":"CONNECT","n":2}`)
-		m.say(banner)
+		m.say(`{"type":"BANNER","state":"LOADED","took":3600000}`)
 		m.say(`{"type":"AWAIT","n":2,"job":"b","data":""}`, `{"type":"VALUE","n":3,"job":"a","state":"PASS","took":1}`)
 		m.reads(sync0)
 		m.say(tops)
@@ -195,6 +195,30 @@
 	})
 }
 
+// An interpreter that started after the link broke knows none of its runs and numbers from 1 again: they fail,
+// none is started twice, and its notices are heard. A request that came meanwhile is started there.
+func TestInterpreterRestarts(t *testing.T) {
+	play(t, func(l *Link, h *heard, next func() *machine) {
+		m := next()
+		m.say(banner, tops)
+		l.Run("a", "krog", []byte("x"))
+		m.say(`{"type":"AWAIT","n":7,"job":"a","data":""}`)
+		m.conn.Close()
+		synctest.Wait()
+		l.Run("b", "krog", []byte("x"))
+		time.Sleep(time.Second)
+		h.take()
+		m = next()
+		m.say(banner, tops) // it started 5 ms ago
+		m.reads(`{"type":"CONNECT","n":7}`, sync0, apply("b"), tick)
+		m.say(`{"type":"VALUE","n":1,"job":"b","state":"PASS","took":1}`)
+		want := []string{`ended a 1 0s ""`, "up", "gauges 0.5 3", `ended b 0 1ms ""`}
+		if got := h.take(); !slices.Equal(got, want) {
+			t.Fatalf("heard %q, want %q", got, want)
+		}
+	})
+}
+
 // A link that brings what is no notice is given up for a new one; a line longer than a buffer is read whole.
 func TestLines(t *testing.T) {
 	play(t, func(l *Link, h *heard, next func() *machine) {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -229,8 +229,11 @@
 	if err != nil {
 		return err
 	}
-	for _, a := range s.Addrs() {
-		l.Printf("listening on %v", a)
+	for _, ln := range s.listeners {
+		l.Printf("%s: listening on %v", ln.Name(), ln.Addr())
+	}
+	if s.agent != nil {
+		l.Printf("snmp: listening on %v", s.agent.Addr())
 	}
 	leave := make(chan struct{})
 	go func() {
