--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -75,7 +75,7 @@
 		Gauges: []string{"core_use", "on_cores", "heap_share", "links"},
 		SCGI:   settings.SCGI{Listen: "127.0.0.1:0", MaxBody: 64, HeldKB: 1},
 		Server: silverpath.Settings{
-			Cores: 2, MemoryKB: 10000, CrowdLimit: 8, CrowdWindow: time.Second, DrainGrace: 2 * time.Second,
+			Cores: 2, MemoryKB: 10000, CrowdLimit: 8, CrowdWindow: time.Second, DrainGrace: 15 * time.Second,
 			Classes: []silverpath.Class{{Name: "krog", Aim: 10 * time.Second, Deadline: 30 * time.Second, Worth: 1}},
 		},
 	}
@@ -130,10 +130,20 @@
 		t.Fatalf("SCGI: %+v, %v", r, err)
 	}
 
+	late := dial(t, second, nil) // connected before the notice, with a request that comes after it
+	for s.connections() < 3 {
+		time.Sleep(time.Millisecond)
+	}
 	close(leave)
 	if r, err := msgpackrpc.ReadReply(a.r); err != nil || r.Notification != "lastCall" {
 		t.Fatalf("in the drain: %+v, %v", r, err)
 	}
+	if _, err := late.Write(scgi.AppendRequest(nil, []byte("late"), "PATH_INFO", "/krog")); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := scgi.ReadReply(late.r); err != nil || r.Status != 200 || string(r.Body) != "LATE" {
+		t.Fatalf("an SCGI request in the drain: %+v, %v", r, err)
+	}
 	release()
 	if r, err := msgpackrpc.ReadReply(a.r); err != nil || r.ID != 3 || string(r.Body) != "HOLD" {
 		t.Fatalf("what was read: %+v, %v", r, err)
@@ -153,14 +163,15 @@
 	}
 	a.Close()
 	b.Close()
+	late.Close()
 	if err := <-done; err != nil {
 		t.Fatal(err)
 	}
 	if n := s.Stats().Get("answered", "msgpack", "krog", "served"); n != 2 {
 		t.Errorf("%d served by msgpack, want 2", n)
 	}
-	if n := s.Stats().Get("answered", "scgi", "krog", "served"); n != 1 {
-		t.Errorf("%d served by scgi, want 1", n)
+	if n := s.Stats().Get("answered", "scgi", "krog", "served"); n != 2 {
+		t.Errorf("%d served by scgi, want 2", n)
 	}
 }
 
