Close who says nothing within 2 s; evict those who never asked before the balancers

Seen: clients that connect by the hundreds and say nothing kept their place for good (msgpackrpc.Serve waited for the first byte without a limit) and half a message for 10 s, where 3 s are allowed; front.room closed whoever had idled longest, so that connections that asked once and stay pushed out the balancers' own. Every odd peer wrote a log line.

Now: 2 s for the first whole message from connecting and for each further one from its first byte, on both fronts (SCGI says 408); who asked nothing goes first, then who asked once; ten lines about peers a second at most. A stamp over 10 s ahead, a wait of over an hour and a negative balancer number are bad fields.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,7 +24,34 @@
 	// Under the owner's lock:
 	open  int // requests
 	since time.Time
-	asked bool
+	told  bool // the peer was asked to leave
+	asked int  // whole messages that came
+}
+
+// Asked notes that a whole message has come.
+func (s *Slot) Asked() {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	s.asked++
+}
+
+// Logf logs what was wrong with a peer. Whoever floods the service floods no log: of many lines a second the
+// rest is only counted.
+func (s *Slot) Logf(format string, args ...any) {
+	l := s.owner
+	l.mu.Lock()
+	now := time.Now()
+	if now.Sub(l.logSince) >= time.Second {
+		l.logSince, l.logged = now, 0
+	}
+	l.logged++
+	n := l.logged
+	l.mu.Unlock()
+	if n <= mostLines {
+		l.log.Printf(format, args...)
+	} else {
+		l.stats.Inc("unlogged", l.name)
+	}
 }
 
 // OnLeave sets how the peer is asked to leave; where nothing is set an idle connection is just closed.
@@ -61,10 +88,17 @@
 	draining bool
 	closed   bool
 	serving  sync.WaitGroup
+	logSince time.Time // of the second in which logged lines are counted
+	logged   int
 }
 
+// WholeWithin is how long a peer has for its first whole message from its connecting, and for each further one
+// from its first byte. Whoever needs longer gets no answer but a close.
+const WholeWithin = 2 * time.Second
+
 const (
 	sweepEvery = 250 * time.Millisecond
+	mostLines  = 10 // logged in a second about peers
 	// idleGrace is the least time that a connection over the budget must have idled: a request that crosses
 	// its close within 50 ms is sent again, one that was under way before would be lost.
 	idleGrace = 100 * time.Millisecond
@@ -136,7 +170,16 @@
 	}
 }
 
-// room waits until the budget has room, closing the connection that has idled longest where there is one.
+// before reports whether an idle connection is closed before another one: who has asked nothing goes first, then
+// who has asked once, as clients do that never come back, then who has idled longest.
+func (s *Slot) before(o *Slot) bool {
+	if a, b := min(s.asked, 2), min(o.asked, 2); a != b {
+		return a < b
+	}
+	return s.since.Before(o.since)
+}
+
+// room waits until the budget has room, closing the idle connection that is missed least where there is one.
 func (l *Listener) room() {
 	for {
 		l.mu.Lock()
@@ -144,16 +187,16 @@
 			l.mu.Unlock()
 			return
 		}
-		var oldest *Slot
+		var least *Slot
 		for s := range l.slots {
-			if s.open == 0 && time.Since(s.since) >= idleGrace && (oldest == nil || s.since.Before(oldest.since)) {
-				oldest = s
+			if s.open == 0 && time.Since(s.since) >= idleGrace && (least == nil || s.before(least)) {
+				least = s
 			}
 		}
 		l.mu.Unlock()
-		if oldest != nil {
+		if least != nil {
 			l.stats.Inc("evicted", l.name)
-			oldest.conn.Close()
+			least.conn.Close()
 		}
 		select {
 		case <-l.freed:
@@ -185,8 +228,8 @@
 	l.mu.Lock()
 	var list []func()
 	for s := range l.slots {
-		if !s.asked && s.leave != nil && which(s) {
-			s.asked = true
+		if !s.told && s.leave != nil && which(s) {
+			s.told = true
 			list = append(list, s.leave)
 		}
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"log"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,7 @@
 				if _, err := conn.Read(b); err != nil {
 					return
 				}
+				s.Asked()
 			}
 		}
 		l := New("test", p, 2, func() time.Duration { return idle }, handle, log.New(io.Discard, "", 0), &stats.Counters{})
@@ -85,6 +87,50 @@
 	})
 }
 
+// Who has asked nothing goes before one that has, however long that idles, and who asked once before one that
+// comes again: those that connect and say nothing must not push out the balancers.
+func TestWhoGoesFirst(t *testing.T) {
+	play(t, 0, func(l *Listener, dial func() net.Conn, _ func() int) {
+		usual := dial()
+		for range 3 {
+			usual.Write([]byte{1})
+			usual.Write([]byte{0})
+		}
+		time.Sleep(time.Minute)
+		once := dial()
+		once.Write([]byte{0})
+		time.Sleep(time.Second)
+		silent := dial() // pushes out the one that asked once
+		time.Sleep(time.Second)
+		if closed(t, usual) || !closed(t, once) {
+			t.Fatal("who asked once stays, or who comes again goes")
+		}
+		last := dial()
+		time.Sleep(time.Second)
+		if closed(t, usual) || !closed(t, silent) || closed(t, last) {
+			t.Fatal("who said nothing stays, or who comes again goes")
+		}
+	})
+}
+
+// Lines about peers are few, however many peers there are.
+func TestLogIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		l := New("test", pipes.Listen(), 2, nil, nil, log.New(&out, "", 0), &stats.Counters{})
+		s := &Slot{owner: l}
+		for range 10 {
+			for range 100 {
+				s.Logf("a line")
+			}
+			time.Sleep(time.Second)
+		}
+		if n := strings.Count(out.String(), "\n"); n != 10*mostLines || l.stats.Get("unlogged", "test") != 1000-10*mostLines {
+			t.Fatalf("%d lines", n)
+		}
+	})
+}
+
 // Idle connections are asked to leave, once, and those with requests open are not.
 func TestIdle(t *testing.T) {
 	play(t, time.Second, func(_ *Listener, dial func() net.Conn, left func() int) {
--- a/internal/msgpackrpc/decode_test.go
+++ b/internal/msgpackrpc/decode_test.go
@@ -137,7 +137,9 @@
 		t.Fatal(err)
 	}
 	good := map[string]string{"i": "1", "s": "1000", "d": "500", "m": "24.5", "f": "4", "p": "0.5", "k": "key", "t": "acme"}
-	for field, value := range map[string]string{"": "", "s": "-1", "d": "x", "m": "NaN", "i": "", "p": "1", "f": "a"} {
+	for _, bad := range []struct{ field, value string }{{"", ""}, {"s", "-1"}, {"s", "99999999999999"}, {"s", ""}, {"d", "x"},
+		{"d", "-1"}, {"d", "3600001"}, {"m", "NaN"}, {"m", "0"}, {"m", "2000"}, {"m", "Inf"}, {"i", ""}, {"p", "1"}, {"p", "NaN"}, {"f", "a"}, {"f", "-1"}} {
+		field, value := bad.field, bad.value
 		fields := map[string]string{}
 		for k, v := range good {
 			fields[k] = v
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -6,8 +6,8 @@
 	"errors"
 	"io"
 	"log"
-	"math"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -29,8 +29,9 @@
 	failed   = "Error"
 
 	mostOpen     = 64 // requests on a connection; balancers keep to half of that
-	wholeTimeout = 10 * time.Second
 	writeTimeout = 2 * time.Second
+	mostAhead    = 10 * time.Second // by which a balancer's clock may be ahead
+	longestWait  = time.Hour
 )
 
 // Front serves balancers.
@@ -66,23 +67,28 @@
 	d := decoder{r}
 	var requests sync.WaitGroup
 	var err error
+	conn.SetReadDeadline(time.Now().Add(front.WholeWithin)) // who connects and says nothing keeps no place
 	for err == nil {
 		if _, err = r.Peek(1); err != nil {
 			break
 		}
-		conn.SetReadDeadline(time.Now().Add(wholeTimeout))
+		conn.SetReadDeadline(time.Now().Add(front.WholeWithin))
 		var m message
 		if m, err = d.message(); err != nil {
 			break
 		}
 		conn.SetReadDeadline(time.Time{})
+		slot.Asked()
 		err = c.take(m, &requests)
 	}
 	switch {
 	case err == io.EOF: // the other side may still read: what it asked is answered
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.stats.Inc("too_slow", Name)
+		c.fail()
 	case errors.Is(err, errMalformed) || errors.Is(err, io.ErrUnexpectedEOF):
 		f.stats.Inc("malformed", Name)
-		f.log.Printf("%s: closing the connection of %v: %v", Name, conn.RemoteAddr(), err)
+		slot.Logf("%s: closing the connection of %v: %v", Name, conn.RemoteAddr(), err)
 		c.fail()
 	default:
 		c.fail()
@@ -158,14 +164,14 @@
 func mapRequest(m message, now time.Time, c *core.Core) (r core.Request, problem string) {
 	f := m.fields
 	stamp, err := strconv.ParseInt(f["s"], 10, 64)
-	if err != nil || stamp < 0 || stamp > math.MaxInt64/int64(time.Millisecond) {
+	if err != nil || stamp < 0 || stamp > now.Add(mostAhead).UnixMilli() {
 		return r, "s"
 	}
 	wait, err := strconv.ParseInt(f["d"], 10, 64)
 	switch k, known := c.Class(m.method); {
 	case f["d"] == "" && known:
 		wait = k.Deadline.Milliseconds()
-	case err != nil || wait < 0 || wait > 1<<31:
+	case err != nil || wait < 0 || wait > longestWait.Milliseconds():
 		return r, "d"
 	}
 	held, err := strconv.ParseFloat(f["m"], 64)
@@ -180,7 +186,7 @@
 		return r, "p"
 	}
 	caller, err := strconv.Atoi(f["f"])
-	if f["f"] != "" && err != nil {
+	if f["f"] != "" && (err != nil || caller < 0) {
 		return r, "f"
 	}
 	reached := time.UnixMilli(stamp)
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -95,7 +95,7 @@
 	read: func(r *bufio.Reader) (reply, error) {
 		a, err := scgi.ReadReply(r)
 		out := map[int]core.Outcome{200: core.Served, 503: core.Refused, 502: core.Failed, 504: core.Failed,
-			404: core.Refused}[a.Status]
+			404: core.Refused, 408: core.Failed, 422: core.Failed}[a.Status]
 		if out == core.Served && a.Status != 200 {
 			err = fmt.Errorf("status %d", a.Status)
 		}
@@ -553,6 +553,33 @@
 		e.end(e.ran("x")[0], silverpath.OK, "done")
 		e.one(a, core.Served, "done")
 	}},
+	{"the key of another request brings no result of it, and takes nothing from it", func(e *edge) {
+		a := e.send(try{class: "oddaja", key: "k", body: "x"})
+		e.one(e.send(try{class: "oddaja", key: "k", body: "another"}), core.Failed, "")
+		e.end(e.ran("x")[0], silverpath.OK, "done")
+		e.one(a, core.Served, "done")
+		e.one(e.send(try{class: "oddaja", key: "k", body: "another"}), core.Failed, "")
+		e.one(e.send(try{class: "oddaja", key: "k", body: "x"}), core.Served, "done")
+		e.ran("x")
+	}},
+	{"who says nothing, or half of something, is answered or closed within 3 s", func(e *edge) {
+		whole := e.driver.write(try{class: "oddaja", key: "k", body: "body"}, 1)
+		began := time.Now()
+		var all []*caller
+		for _, b := range [][]byte{nil, whole[:1], whole[:len(whole)/2], whole[:len(whole)-1]} {
+			all = append(all, e.raw(b))
+		}
+		good := e.send(try{class: "lestvica", body: "x", wait: time.Minute})
+		for _, c := range all {
+			for range c.replies { // whatever it is told, its connection ends
+			}
+		}
+		if d := time.Since(began); d > 3*time.Second {
+			e.t.Fatalf("closed after %v", d)
+		}
+		e.end(e.ran("x")[0], silverpath.OK, "done")
+		e.one(good, core.Served, "done")
+	}},
 	{"requests cut at any byte are never run", func(e *edge) {
 		whole := e.driver.write(try{class: "oddaja", key: "k", body: "body", wait: deadline}, 1)
 		for n := range len(whole) {
--- a/internal/scgi/front.go
+++ b/internal/scgi/front.go
@@ -10,6 +10,7 @@
 	"log"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -38,7 +39,6 @@
 )
 
 const (
-	wholeTimeout = 10 * time.Second // for a request to come in
 	writeTimeout = 2 * time.Second
 	lingerFor    = time.Second // for what a client still sends after an answer that did not wait for it
 	longestWait  = time.Hour
@@ -85,12 +85,13 @@
 	defer conn.Close()
 	r := buf.Reader(conn)
 	defer buf.PutReader(r)
-	conn.SetReadDeadline(time.Now().Add(wholeTimeout))
+	conn.SetReadDeadline(time.Now().Add(front.WholeWithin))
 	m, err := readMessage(r, f.cfg.MaxBody)
 	if err == nil {
 		var q core.Request
 		if q, err = f.mapRequest(m, time.Now(), conn.RemoteAddr()); err == nil {
 			conn.SetReadDeadline(time.Time{})
+			slot.Asked()
 			slot.Open(1)
 			f.serve(conn, r, q)
 			return
@@ -105,12 +106,14 @@
 		p = &problem{"413 Content Too Large", err.Error(), "too_large"}
 	case err == io.EOF:
 		return // opened and closed again
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		p = &problem{"408 Request Timeout", fmt.Sprintf("no whole request came within %v", front.WholeWithin), "too_slow"}
 	default:
 		f.stats.Inc("cut_short", Name)
-		return // it broke off or came too slowly: nobody is there to be answered
+		return // it broke off: nobody is there to be answered
 	}
 	f.stats.Inc(p.count, Name)
-	f.log.Printf("%s: %s to %v: %s", Name, p.status, conn.RemoteAddr(), p.text)
+	slot.Logf("%s: %s to %v: %s", Name, p.status, conn.RemoteAddr(), p.text)
 	f.write(conn, p.status, []byte(p.text+"\n"), "text/plain")
 	linger(conn, r)
 }
