Believe told waits over give-ups; warm up from BANNER; serve on in the drain window

Checked with a probe that logged what give-ups teach: connections that broke as balancers stopped brought the patience of callers to 0.21 to 0.27 of the deadline (learnPatience, shedder.go), under the aim, and all that would take longer was refused by the forecast; only rare give-ups raised it again. Every request here tells its wait, so nothing is learned from give-ups where it is told. Ruled out: the flight limit (0 refusals by it), memory (11 of 48 MB). The cold clock ran from the start of the process (Shedder.started in New); now Started sets it from BANNER's state and age. 137 attempts met a closed port while the list still named a draining server: front.Drain and the closing of listeners came 50 ms after the notice though what comes within 2 s may run; now after four fifths of that window.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -196,6 +196,11 @@
 	}
 }
 
+// Started is told when that which does the work started, and whether it was cold then.
+func (c *Core) Started(cold bool, ago time.Duration) {
+	c.choose(func(m *silverpath.Shedder, now time.Duration) { m.Started(now, ago, cold) })
+}
+
 // Up is told when the runner is ready.
 func (c *Core) Up() {
 	c.mu.Lock()
--- a/internal/interp/interp.go
+++ b/internal/interp/interp.go
@@ -24,6 +24,7 @@
 
 // Events is who hears of runs: the core.
 type Events interface {
+	Started(cold bool, ago time.Duration) // before Up
 	Up()
 	Awaits(id string, body []byte)
 	Ended(id string, o silverpath.Outcome, spent time.Duration, result []byte)
@@ -339,7 +340,9 @@
 	switch kind {
 	case "BANNER":
 		l.log.Printf("interpreter up: %s, started %d ms ago", v.GetStringBytes("state"), v.GetInt64("took"))
-		l.restarted(time.Duration(v.GetInt64("took")) * time.Millisecond)
+		ago := time.Duration(max(0, v.GetInt64("took"))) * time.Millisecond
+		l.restarted(ago)
+		l.events.Started(string(v.GetStringBytes("state")) == "EMPTY", ago)
 		return write(conn, object("type", "TOP", "ref", syncRef))
 	case "TOPS":
 		switch string(v.GetStringBytes("ref")) {
--- a/internal/interp/interp_test.go
+++ b/internal/interp/interp_test.go
@@ -21,8 +21,9 @@
 
 // heard notes what the core would be told.
 type heard struct {
-	mu   sync.Mutex
-	list []string
+	mu      sync.Mutex
+	list    []string
+	started []string
 }
 
 func (h *heard) note(format string, args ...any) {
@@ -30,7 +31,12 @@
 	defer h.mu.Unlock()
 	h.list = append(h.list, fmt.Sprintf(format, args...))
 }
-func (h *heard) Up()                           { h.note("up") }
+func (h *heard) Up() { h.note("up") }
+func (h *heard) Started(cold bool, ago time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.started = append(h.started, fmt.Sprintf("%v %v", cold, ago))
+}
 func (h *heard) Awaits(id string, body []byte) { h.note("awaits %s %q", id, body) }
 func (h *heard) Ended(id string, o silverpath.Outcome, spent time.Duration, result []byte) {
 	h.note("ended %s %d %v %q", id, o, spent, result)
@@ -137,6 +143,9 @@
 		if got := h.take(); !slices.Equal(got, want) {
 			t.Fatalf("heard %q, want %q", got, want)
 		}
+		if want := []string{"true 5ms"}; !slices.Equal(h.started, want) {
+			t.Fatalf("the interpreter started %q, want %q", h.started, want)
+		}
 	})
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -31,7 +31,9 @@
 	// exitBefore is how long before the process is stopped it has left. The module answers what is left 100 ms
 	// before that time.
 	exitBefore = 60 * time.Millisecond
-	// listenOn is how long after the notice to leave new connections are still taken: see Run.
+	// serveOn is the share of the drain window in which peers are served as before: see drain.
+	serveOn = 0.8
+	// listenOn is how long new connections are still taken after peers were asked to leave.
 	listenOn = 50 * time.Millisecond
 	// settle is for what may still be under way on the connections when everything read has been answered.
 	settle = 100 * time.Millisecond
@@ -70,11 +72,17 @@
 	link      *interp.Link       // nil where an application server does the work
 	below     *vault.Client      // likewise
 	reporter  *announce.Reporter // reports nowhere while its address is empty
+	lead      time.Duration      // from the notice to leave until peers are asked to leave too
+}
+
+// lead is how long peers are served as before once the service was told to leave: see drain.
+func lead(c settings.Config) time.Duration {
+	return min(time.Duration(serveOn*float64(c.Server.DrainGrace)), c.Stop/2)
 }
 
 // New builds a service and opens its addresses.
 func New(cfg settings.Config, l *log.Logger) (*Service, error) {
-	s := &Service{cfg: cfg, log: l, stats: &stats.Counters{}}
+	s := &Service{cfg: cfg, log: l, stats: &stats.Counters{}, lead: lead(cfg)}
 	var err error
 	s.core, err = core.New(core.Config{Settings: cfg.Server, MemoryMB: cfg.MemoryMB, Log: l, Stats: s.stats})
 	if err != nil {
@@ -201,12 +209,14 @@
 	return s.drain()
 }
 
-// drain leads from the notice to the end. Peers are asked to leave at once, and new connections are taken only
-// for as long as one may already be under way: a refused connection proves that nothing ran, so its caller
-// goes elsewhere without a request having cost a reading here.
+// drain leads from the notice to the end. Callers hear of it seconds late, and whoever takes over may be cold yet:
+// for most of the window in which requests may still be run they are served as before. Then peers are asked to
+// leave, and new connections are taken only for as long as one may already be under way: a refused connection
+// proves that nothing ran, so its caller goes elsewhere without a request having cost a reading here.
 func (s *Service) drain() error {
 	began := time.Now()
 	s.core.Drain(s.cfg.Stop)
+	time.Sleep(s.lead)
 	for _, l := range s.listeners {
 		l.Drain()
 	}
--- a/record.go
+++ b/record.go
@@ -15,10 +15,12 @@
 	set     Settings
 	host    Host
 	now     time.Duration
-	started time.Duration
-	classes []*class
-	byName  map[string]*class
-	tenants map[string]*window.TokenBucket
+	started time.Duration // and, where it is cold, warmed up from then on
+	// learnFrom is when the usual pace began to be learned.
+	learnFrom time.Duration
+	classes   []*class
+	byName    map[string]*class
+	tenants   map[string]*window.TokenBucket
 
 	requests []*request // in order of arrival
 	byID     map[string]*request
--- a/shedder.go
+++ b/shedder.go
@@ -71,7 +71,7 @@
 		return nil, fmt.Errorf("silverpath: impossible settings: %w", err)
 	}
 	s := &Shedder{
-		set: set, host: host, now: now, started: now, nextSample: now + sampleEvery,
+		set: set, host: host, now: now, started: now, learnFrom: now, nextSample: now + sampleEvery,
 		byName: map[string]*class{}, tenants: map[string]*window.TokenBucket{},
 		byID: map[string]*request{}, keys: newKeyTable(),
 	}
@@ -100,6 +100,13 @@
 
 // ---- Events ----
 
+// Started reports when that which does the work started, and whether it was cold then: maybe long after New.
+func (s *Shedder) Started(now, ago time.Duration, cold bool) {
+	s.at(now)
+	s.set.Cold, s.started = cold, now-ago
+	s.learnFrom = max(s.learnFrom, s.started)
+}
+
 // Arrive takes a request that was just read. It is answered sooner or later, once.
 func (s *Shedder) Arrive(now time.Duration, q Request) {
 	s.at(now)
@@ -290,7 +297,7 @@
 	s.weigh()
 	s.report()
 	switch p := s.pace(); {
-	case s.now-s.started < windowSpan:
+	case s.now-s.learnFrom < windowSpan:
 		s.usualPace = p
 	case p < s.usualPace:
 		s.usualPace += (p - s.usualPace) * (1 - paceMemory)
@@ -536,7 +543,9 @@
 	}
 	stretch := seconds(c.AimStretch * r.size)
 	r.aim = r.reached + min(c.Aim+stretch, c.Deadline)/time.Duration(1+s.set.Tier)
-	r.aim = min(r.aim, r.reached+time.Duration(s.patience.Value()*float64(c.Deadline)))
+	if q.Deadline == 0 {
+		r.aim = min(r.aim, r.reached+time.Duration(s.patience.Value()*float64(c.Deadline)))
+	}
 	c.asked += r.size
 	s.requests = append(s.requests, r)
 	s.byID[r.ID] = r
@@ -548,7 +557,8 @@
 // learnPatience notes how long a caller waited for a try it gave up. Callers may give a try up long before
 // the client does and then try elsewhere; what can't be answered by then is work for nobody. One figure for
 // all: of hundreds of callers each is seen too seldom. Notices come late and tell nothing of clients that
-// gave up early, so it can be too long, or short for further tries.
+// gave up early, so it can be too long, or short for further tries. It counts only where a request does not tell
+// how long its caller waits: a broken connection and a copy that is taken back teach a patience that nobody has.
 func (s *Shedder) learnPatience(r *request) {
 	s.patience.Add(min(1, float64(s.now-r.reached)/float64(r.class.Deadline)), callMemory)
 }
--- a/shedder_test.go
+++ b/shedder_test.go
@@ -290,6 +290,56 @@
 	}
 }
 
+// Where a request tells how long its caller waits, give-ups teach nothing: connections that broke and copies that
+// were taken back would make everything that takes longer look hopeless.
+func TestToldWaitIsBelieved(t *testing.T) {
+	s, h := start(t)
+	now := time.Duration(0)
+	told := func(id string, work time.Duration) {
+		r := req(id, "read")
+		r.Work, r.Deadline = work, now+3*time.Second
+		s.Arrive(now, r)
+	}
+	for i := range 30 {
+		id := fmt.Sprint("r", i)
+		told(id, 100*time.Millisecond)
+		s.Gone(now+10*time.Millisecond, id)
+		now += time.Second
+		s.RunEnded(now, id, Canceled, 0)
+	}
+	told("x", 800*time.Millisecond)
+	if !h.did("run x") {
+		t.Errorf("not run, though its caller waits 3 s: %v", h.lines[len(h.lines)-2:])
+	}
+}
+
+// The work may start long after the server, cold or warm: what was told at the start does not count.
+func TestStartedLate(t *testing.T) {
+	s, _ := start(t, func(set *Settings) { set.Cold, set.ColdFrom, set.WarmWithin = true, 0.25, 16*time.Second })
+	s.Tick(20*time.Second, Gauges{})
+	warm := s.crowd()
+	s.Started(20*time.Second, time.Second, true)
+	if got, want := s.speed(), 0.25+0.75/16; math.Abs(got-want) > 1e-9 || s.crowd() >= warm || !s.local() {
+		t.Errorf("speed %v a second after a cold start, want %v; the crowd is %v, warm %v", got, want, s.crowd(), warm)
+	}
+	s.Started(21*time.Second, time.Hour, false)
+	if s.speed() != 1 || s.crowd() != warm {
+		t.Errorf("speed %v after a warm start", s.speed())
+	}
+}
+
+// A run that was never started is no pass: its short time would be taken for what the server can do.
+func TestIgnoredRunIsNoPass(t *testing.T) {
+	s, h := start(t)
+	s.Arrive(0, req("a", "book"))
+	s.RunEnded(time.Millisecond, "a", Ignored, 0)
+	n, c := 0, s.byName["book"]
+	c.times.Each(s.now, func(b window.Bucket) { n += b.Count })
+	if n != 0 || c.asked != 0 || c.flying != 0 || s.keys.has("a") || !h.did("forget a") {
+		t.Errorf("%d passes, work asked for %v, %d in flight: %v", n, c.asked, c.flying, h.lines)
+	}
+}
+
 func TestDueTime(t *testing.T) {
 	s, h := start(t)
 	s.Arrive(0, req("a", "book"))
