--- a/shedder.go
+++ b/shedder.go
@@ -557,8 +557,8 @@
 // learnPatience notes how long a caller waited for a try it gave up. Callers may give a try up long before
 // the client does and then try elsewhere; what can't be answered by then is work for nobody. One figure for
 // all: of hundreds of callers each is seen too seldom. Notices come late and tell nothing of clients that
-// gave up early, so it can be too long, or short for further tries. It counts only where a request does not tell
-// how long its caller waits: a broken connection and a copy that is taken back teach a patience that nobody has.
+// gave up early, so it can be too long, or short for further tries. It counts only where a request does not
+// tell how long its caller waits: broken connections and copies taken back teach a patience that nobody has.
 func (s *Shedder) learnPatience(r *request) {
 	s.patience.Add(min(1, float64(s.now-r.reached)/float64(r.class.Deadline)), callMemory)
 }
