Throttle calls that the tier below turns away, most needed first; end them at the aim

A trace of every request's steps showed the loss in the ten seconds in which one of two tocke servers was gone: 20 to 33% of all firsts failed there, lestvica and oddaja alike, each after four or more calls that came back 503 unseen, most within 1 ms.

Now: at most 4 calls a core out at once, a fifth fewer for each round of refusals, a tenth of a call more for each that goes well; what waits goes by need. A call to a tier is given up at the aim where late_worth is 0.

--- a/record.go
+++ b/record.go
@@ -45,6 +45,8 @@
 	callBase            float64       // the lowest that it has been, slowly forgotten
 	callLimit           float64       // calls out at once; under 1, calls keep a distance
 	nextCall            time.Duration // none before then
+	callRoom            float64       // calls to a tier below out at once
+	throttled           time.Duration // callRoom falls no further before then
 	callLog             []callSpan
 	readRate            window.Average
 	idleAfter           time.Duration // connections idle for longer are closed; 0: the longest
@@ -115,6 +117,33 @@
 	backoff          time.Duration
 }
 
+// kb is the memory that a request takes in its state.
+func (s *Shedder) kb(r *request) float64 {
+	switch r.state {
+	case held, joining:
+		return r.HeldKB
+	case over:
+		return 0
+	}
+	return r.HeldKB * s.set.RunFactor
+}
+
+// had is the time on the cores that a request has had.
+func (s *Shedder) had(r *request) time.Duration {
+	if r.state == running || r.state == stopping {
+		return r.used + s.coreClock - r.clockAt
+	}
+	return r.used
+}
+
+// share is the share of its work asked for that was served in time.
+func (c *class) share() float64 {
+	if c.asked == 0 {
+		return 1
+	}
+	return c.served / c.asked
+}
+
 // keyTable remembers requests whose effect must not be repeated, each until a time.
 type keyTable struct {
 	entries []keyEntry
--- a/shedder.go
+++ b/shedder.go
@@ -52,6 +52,7 @@
 	crowded      = 2                     // calls this many times slower than their base are a crowd's
 	leastShare   = 0.25                  // of the share of calls that is used whatever they take: see paceCalls
 	fewer, more  = 0.8, 0.1              // how the limit of calls then falls, and otherwise grows, at each end
+	mostCalls    = 4                     // calls to a tier below out at once, for each core
 	fewestEnds   = 3                     // a bucket with fewer ends has no average worth the name
 	shortAway    = 5                     // the longest absence over that advised when all are overloaded
 	fewestRuns   = 0.25                  // runs a core at least, and cores a run at least
@@ -89,6 +90,7 @@
 		s.tenants[t.Name] = window.NewTokenBucket(now, rate, burst(rate))
 	}
 	s.usualPace = 1
+	s.callRoom = mostCalls * float64(set.Cores)
 	s.doneWork = float64(set.Cores)
 	s.doneTime = s.doneWork / math.Sqrt(s.speed())
 	s.coreShare.Add(1, 0)
@@ -181,6 +183,7 @@
 	if o == OK || o == TimedOut {
 		s.paceCalls(spent.Seconds())
 	}
+	s.throttle(o)
 	if o == OK {
 		s.move(r, running)
 	} else {
@@ -569,17 +572,6 @@
 // seconds turns a number of seconds into a Duration.
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
-// kb is the memory that a request takes in its state.
-func (s *Shedder) kb(r *request) float64 {
-	switch r.state {
-	case held, joining:
-		return r.HeldKB
-	case over:
-		return 0
-	}
-	return r.HeldKB * s.set.RunFactor
-}
-
 // move changes the state of a request: the one place that accounts memory and the crowd.
 func (s *Shedder) move(r *request, to state) {
 	if r.state == running || r.state == stopping {
@@ -705,14 +697,6 @@
 	return s.stopAt != 0 || s.speed() < 1 || s.pace() > slowPace*s.usualPace
 }
 
-// had is the time on the cores that a request has had.
-func (s *Shedder) had(r *request) time.Duration {
-	if r.state == running || r.state == stopping {
-		return r.used + s.coreClock - r.clockAt
-	}
-	return r.used
-}
-
 // left is the expected time on the cores that a request still needs.
 func (s *Shedder) left(r *request, pace float64) float64 {
 	whole := r.size * pace
@@ -739,14 +723,6 @@
 	}
 }
 
-// share is the share of its work asked for that was served in time.
-func (c *class) share() float64 {
-	if c.asked == 0 {
-		return 1
-	}
-	return c.served / c.asked
-}
-
 // ranked returns the unanswered requests in one of the states, the best first: worth still obtainable for
 // the work, then the nearest aim.
 func (s *Shedder) ranked(states ...state) []*request {
@@ -839,6 +815,19 @@
 	s.nextCall = s.now + seconds(spent*max(0, 1/s.callLimit-1))
 }
 
+// throttle moves the number of calls to a tier below that may be out at once: fewer as it turns calls away,
+// at most once for each time that a call typically takes, and more as they go well. What waits is called in
+// the order of need, which the tier below, or whoever stands before it, does not know.
+func (s *Shedder) throttle(o Outcome) {
+	switch {
+	case o == OK:
+		s.callRoom = min(mostCalls*float64(s.set.Cores), s.callRoom+more)
+	case o == Overloaded && s.now >= s.throttled:
+		s.callRoom = max(1, s.callRoom*fewer)
+		s.throttled = s.now + seconds(s.callTime)
+	}
+}
+
 // booked is the time in the dependency's hands of the calls in its window, with those out to their last.
 func (s *Shedder) booked() time.Duration {
 	s.callLog = slices.DeleteFunc(s.callLog, func(c callSpan) bool { return c.ended+s.set.CallWindow < s.now })
@@ -858,6 +847,9 @@
 // below, kept even if every call takes its whole patience.
 func (s *Shedder) bookable(want time.Duration) time.Duration {
 	if s.set.Dependency != DependencyShared {
+		if float64(s.inState[calling]+1) > s.callRoom {
+			return 0
+		}
 		return want
 	}
 	if s.callTime > 0 && (s.inState[calling] >= int(math.Ceil(s.callLimit)) || s.now < s.nextCall) {
@@ -881,6 +873,9 @@
 	for _, r := range list {
 		canSkip := r.class.WithoutCall > 0
 		last := s.lastMoment(r)
+		if r.class.LateWorth == 0 && s.set.Dependency == DependencyTier {
+			last = min(last, r.aim) // from then on its call is work for nothing, here and below
+		}
 		if canSkip {
 			tail := seconds(r.size * s.pace() / 2)
 			last = min(last, r.aim-tail)
--- a/shedder_test.go
+++ b/shedder_test.go
@@ -408,6 +408,78 @@
 	}
 }
 
+// A tier below that turns calls away gets fewer at once, once for each time that a call takes; what waits goes by
+// need, and the number grows again as calls go well. Calls that fail or time out say nothing of its room.
+func TestRefusedCallsAreThrottled(t *testing.T) {
+	s, h := start(t, func(set *Settings) {
+		set.Dependency, set.Halt, set.Cores, set.MemoryKB = DependencyTier, HaltNone, 20, 1e6
+		set.Classes[0].WithoutCall = 0
+	})
+	now, n := time.Duration(0), 0
+	stand := func(class string) string {
+		n++
+		id := fmt.Sprint(class, n)
+		s.Arrive(now, req(id, class))
+		s.NeedsCall(now, id)
+		return id
+	}
+	id := stand("read")
+	s.CallEnded(now, id, OK, 100*time.Millisecond)
+	whole := s.callRoom
+	for _, o := range []Outcome{Failed, TimedOut, Unreachable} {
+		s.CallEnded(now, stand("read"), o, 0)
+	}
+	if s.callRoom != whole {
+		t.Fatalf("room for %v calls, want still %v", s.callRoom, whole)
+	}
+	for range 5 { // all within one call's time
+		s.CallEnded(now, stand("read"), Overloaded, 0)
+	}
+	if s.callRoom != whole*fewer {
+		t.Fatalf("room for %v calls after one round of refusals, want %v", s.callRoom, whole*fewer)
+	}
+	s.callRoom = 2
+	now += time.Second
+	first, second := stand("read"), stand("read")
+	low, high := stand("read"), stand("pay")
+	if !h.did("call "+first) || !h.did("call "+second) || h.did("call "+low) || h.did("call "+high) {
+		t.Fatalf("not two calls at once: %v", h.lines)
+	}
+	s.CallEnded(now, first, OK, 100*time.Millisecond)
+	if !h.did("call "+high) || h.did("call "+low) || s.callRoom <= 2 {
+		t.Fatalf("the call most needed did not go first, or the room did not grow: %v", h.lines)
+	}
+	for range 1000 {
+		now += time.Second
+		s.at(now)
+		s.throttle(Overloaded)
+	}
+	if s.callRoom != 1 {
+		t.Fatalf("room for %v calls at least, want 1", s.callRoom)
+	}
+}
+
+// Where a late answer is worth nothing a request that still stands at its call is failed at its aim, at once; where
+// it is worth something it goes on to its due time.
+func TestCallsEndAtTheAim(t *testing.T) {
+	for worth, want := range map[float64]time.Duration{0: time.Second, 0.5: 2950 * time.Millisecond} {
+		s, h := start(t, func(set *Settings) {
+			set.Dependency = DependencyTier
+			set.Classes[0].WithoutCall, set.Classes[0].LateWorth = 0, worth
+		})
+		s.Arrive(0, req("a", "read"))
+		s.NeedsCall(0, "a")
+		if !h.did(fmt.Sprint("call a ", want)) {
+			t.Errorf("late worth %v: the call may not take %v: %v", worth, want, h.lines)
+		}
+		s.CallEnded(want-10*time.Millisecond, "a", Overloaded, 0)
+		s.Tick(want, Gauges{})
+		if h.count("fail a") != 1 {
+			t.Errorf("late worth %v: not failed after %v: %v", worth, want, h.lines)
+		}
+	}
+}
+
 func TestDrain(t *testing.T) {
 	s, h := start(t)
 	s.Arrive(0, req("before", "pay"))
