Write no answer under a reused number; bound counters and log lines; seeds of bad peers

Seen in the code: an answer already on its way when its request was given up was written under its message number, which by then may be another request's (msgpackrpc.reply); the counter interpreter.error took its name from whatever the wire said; a BANNER with a huge age overflowed.

Each has a test; fuzz targets have seeds of what bad clients and peers send, and the interpreter's notices have a target of their own.

--- a/internal/interp/interp.go
+++ b/internal/interp/interp.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -33,6 +34,7 @@
 
 const (
 	longestLine  = 1 << 20
+	longestTook  = 1 << 40 // milliseconds, so that times stay within their type
 	writeTimeout = 2 * time.Second
 	redialAfter  = 5 * time.Millisecond // after a live link broke; doubles with each try that fails
 	slowestDial  = time.Second
@@ -311,6 +313,8 @@
 	}
 }
 
+var commands = []string{"CONNECT", "APPLY", "RESOLVE", "TOP"}
+
 var ends = map[string]silverpath.Outcome{
 	"PASS": silverpath.OK, "FAIL": silverpath.Failed, "KILLED": silverpath.Canceled, "NOOP": silverpath.Ignored,
 }
@@ -340,7 +344,7 @@
 	switch kind {
 	case "BANNER":
 		l.log.Printf("interpreter up: %s, started %d ms ago", v.GetStringBytes("state"), v.GetInt64("took"))
-		ago := time.Duration(max(0, v.GetInt64("took"))) * time.Millisecond
+		ago := time.Duration(min(max(0, v.GetInt64("took")), longestTook)) * time.Millisecond
 		l.restarted(ago)
 		l.events.Started(string(v.GetStringBytes("state")) == "EMPTY", ago)
 		return write(conn, object("type", "TOP", "ref", syncRef))
@@ -363,6 +367,9 @@
 		l.ended(id, o, time.Duration(v.GetFloat64("took")*float64(time.Millisecond)), data)
 	case "ERROR":
 		command := string(v.GetStringBytes("state"))
+		if !slices.Contains(commands, command) {
+			command = "other" // counters are bounded, what comes off a wire is not
+		}
 		l.stats.Inc("interpreter", "error", command)
 		l.log.Printf("interpreter refused %s of %s", command, id)
 		l.mu.Lock()
--- a/internal/interp/interp_test.go
+++ b/internal/interp/interp_test.go
@@ -350,6 +350,36 @@
 	})
 }
 
+// Whatever a link brings, reading it ends with the link, and neither panics nor tells of a run that is not ours.
+func FuzzNotices(f *testing.F) {
+	pass := `{"type":"VALUE","n":3,"job":"a","state":"PASS","took":12,"data":"b2s="}`
+	f.Add(banner + "\n" + tops + "\n" + pass + "\n" + pass + "\n")
+	f.Add(banner + "\n" + `{"type":"TRACE","n":1,"state":"x"}` + "\n" + pass[:40])
+	f.Add(`{"type":"BANNER","state":"EMPTY","took":-1}` + "\n" + `{"type":"BANNER","state":4,"took":9223372036854775807}` + "\n")
+	f.Add(`{"type":"VALUE","n":-3,"job":"a","state":"PASS","took":1e300}` + "\n")
+	f.Add(`{"type":"TOPS","ref":"sync","gauges":[1e999,-1,"x",null]}` + "\n")
+	f.Add(`{"type":"AWAIT","n":4,"job":7,"data":"===="}` + "\n")
+	f.Add(`{"type":"ERROR","state":"no such","job":"a"}` + "\n[]\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		near, far := net.Pipe()
+		go io.Copy(io.Discard, far)
+		go func() {
+			io.WriteString(far, in)
+			far.Close()
+		}()
+		h := &heard{}
+		l := New("", []string{"core_use", "on_cores"}, h, log.New(io.Discard, "", 0), &stats.Counters{})
+		if l.read(near) == nil {
+			t.Fatal("the end of a link is no error")
+		}
+		for _, line := range h.take() {
+			if strings.HasPrefix(line, "ended") {
+				t.Fatalf("told that a run ended which was not started: %s", line)
+			}
+		}
+	})
+}
+
 // Garbage, from a fixed seed, in the place of notices is an error or passed over, never a panic.
 func TestGarbage(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(5, 6))
--- a/internal/msgpackrpc/decode_test.go
+++ b/internal/msgpackrpc/decode_test.go
@@ -57,19 +57,27 @@
 	}
 }
 
+// bad is what clients that are no balancers send.
+var bad = map[string][]byte{
+	"not an array":       {0x81, 0, 0},
+	"a response":         {0x94, 1, 1, 0xc0, 0xc0},
+	"a negative id":      {0x94, 0, 0xd0, 0xff, 0xa1, 'x', 0x90},
+	"a body too large":   AppendRequest(nil, 1, "x", make([]byte, longestBody+1)),
+	"a length of 4 GiB":  {0x94, 0, 1, 0xdb, 0xff, 0xff, 0xff, 0xff},
+	"a map of 4 G":       {0x94, 0, 1, 0xa1, 'x', 0x92, 0xdf, 0xff, 0xff, 0xff, 0xff},
+	"a number as field":  {0x94, 0, 1, 0xa1, 'x', 0x92, 0x81, 0xa1, 'i', 5, 0xc4, 0},
+	"nested too deep":    append([]byte{0x93, 2, 0xa1, 'x', 0x91}, bytes.Repeat([]byte{0x91}, 50)...),
+	"giveUp of nothing":  {0x93, 2, 0xa6, 'g', 'i', 'v', 'e', 'U', 'p', 0x90},
+	"no parameters":      {0x94, 0, 1, 0xa1, 'x', 0x90},
+	"a body of 60 MB":    append([]byte{0x94, 0, 1, 0xa1, 'x', 0x92, 0x80, 0xc6, 0x03, 0x93, 0x87, 0x00}, make([]byte, 4096)...),
+	"a length below 0":   {0x94, 0, 1, 0xa1, 'x', 0x92, 0x80, 0xc6, 0xff, 0xff, 0xff, 0xfe},
+	"an array of 500 M": {0xdd, 0x20, 0x00, 0x00, 0x00},
+	"a reserved byte":    {0xc1},
+	"text":               []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+}
+
 func TestMalformed(t *testing.T) {
-	for name, b := range map[string][]byte{
-		"not an array":      {0x81, 0, 0},
-		"a response":        {0x94, 1, 1, 0xc0, 0xc0},
-		"a negative id":     {0x94, 0, 0xd0, 0xff, 0xa1, 'x', 0x90},
-		"a body too large":  AppendRequest(nil, 1, "x", make([]byte, longestBody+1)),
-		"a length of 4 GiB": {0x94, 0, 1, 0xdb, 0xff, 0xff, 0xff, 0xff},
-		"a map of 4 G":      {0x94, 0, 1, 0xa1, 'x', 0x92, 0xdf, 0xff, 0xff, 0xff, 0xff},
-		"a number as field": {0x94, 0, 1, 0xa1, 'x', 0x92, 0x81, 0xa1, 'i', 5, 0xc4, 0},
-		"nested too deep":   append([]byte{0x93, 2, 0xa1, 'x', 0x91}, bytes.Repeat([]byte{0x91}, 50)...),
-		"giveUp of nothing": {0x93, 2, 0xa6, 'g', 'i', 'v', 'e', 'U', 'p', 0x90},
-		"no parameters":     {0x94, 0, 1, 0xa1, 'x', 0x90},
-	} {
+	for name, b := range bad {
 		if _, err := read(b); !errors.Is(err, errMalformed) {
 			t.Errorf("%s: %v", name, err)
 		}
@@ -94,7 +102,11 @@
 	for _, b := range valid {
 		f.Add(b)
 	}
+	for _, b := range bad {
+		f.Add(b)
+	}
 	f.Add([]byte("\xdd\xff\xff\xff\xff"))
+	f.Add(valid[0][:len(valid[0])/2])
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := read(b)
 		if err == nil && (len(m.body) > longestBody || len(m.fields) > mostFields || len(m.method) > longestText) {
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -141,7 +141,7 @@
 		requests.Add(1)
 		go func() {
 			defer requests.Done()
-			c.core.Serve(r, func(a core.Answer) { c.reply(m.id, a) })
+			c.core.Serve(r, func(a core.Answer) { c.answer(m.id, r.ID, a) })
 		}()
 	}
 	return nil
@@ -205,12 +205,22 @@
 	return pairs
 }
 
-// reply writes a request's answer.
-func (c *client) reply(id uint64, a core.Answer) {
+// answer writes the answer of an open request. One that was given up is owed none, and its number may by now be
+// another request's.
+func (c *client) answer(id uint64, request string, a core.Answer) {
 	c.mu.Lock()
-	delete(c.open, id)
-	c.slot.Open(len(c.open))
+	open := c.open[id] == request
+	if open {
+		delete(c.open, id)
+		c.slot.Open(len(c.open))
+	}
 	c.mu.Unlock()
+	if open {
+		c.reply(id, a)
+	}
+}
+
+func (c *client) reply(id uint64, a core.Answer) {
 	c.write(func(b []byte) []byte { return appendAnswer(b, id, a, c.signal(nil)) })
 }
 
--- /dev/null
+++ b/internal/msgpackrpc/front_test.go
@@ -0,0 +1,45 @@
+package msgpackrpc
+
+import (
+	"bufio"
+	"io"
+	"log"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"silverpath"
+	"silverpath/internal/core"
+	"silverpath/internal/front"
+	"silverpath/internal/pipes"
+	"silverpath/internal/stats"
+)
+
+// A number that was given up may be another request's when the first one's answer comes: that one is not written,
+// or the second request would get an answer that is not its own.
+func TestReusedNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, err := core.New(core.Config{Settings: silverpath.Settings{Cores: 1, MemoryKB: 1,
+			Classes: []silverpath.Class{{Name: "x", Deadline: time.Second}}}, MemoryMB: 16})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f, p := New(c, log.New(io.Discard, "", 0), &stats.Counters{}), pipes.Listen()
+		l := front.New("test", p, 1, func() time.Duration { return 0 }, func(conn net.Conn, slot *front.Slot) {
+			k := &client{Front: f, conn: conn, slot: slot, open: map[uint64]string{7: "second"}}
+			k.answer(7, "first", core.Answer{Outcome: core.Served, Body: []byte("first")})
+			k.answer(7, "second", core.Answer{Outcome: core.Served, Body: []byte("second")})
+			k.answer(7, "second", core.Answer{Outcome: core.Served, Body: []byte("third")})
+		}, log.New(io.Discard, "", 0), &stats.Counters{})
+		go l.Serve()
+		defer l.Close()
+		r := bufio.NewReader(p.Dial())
+		if a, err := ReadReply(r); err != nil || a.ID != 7 || string(a.Body) != "second" {
+			t.Fatalf("answer %+v, %v", a, err)
+		}
+		if _, err := ReadReply(r); err != io.EOF {
+			t.Fatalf("a second answer: %v", err)
+		}
+	})
+}
--- a/internal/scgi/scgi_test.go
+++ b/internal/scgi/scgi_test.go
@@ -93,6 +93,12 @@
 func FuzzMessage(f *testing.F) {
 	f.Add(specimen)
 	f.Add(netstring("CONTENT_LENGTH\x000\x00SCGI\x001\x00"))
+	f.Add(specimen[:len(specimen)/2])
+	f.Add(netstring("CONTENT_LENGTH\x0060000000\x00SCGI\x001\x00") + strings.Repeat("x", 4096))
+	f.Add(netstring("CONTENT_LENGTH\x00-1\x00SCGI\x001\x00"))
+	f.Add("99999999999999999999:")
+	f.Add("-5:")
+	f.Add("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	f.Fuzz(func(t *testing.T, in string) {
 		m, err := read(in)
 		if err == nil && (len(m.body) > 100 || len(m.headers) > mostHeaders || m.headers["SCGI"] != "1") {
@@ -104,6 +110,9 @@
 func FuzzResponse(f *testing.F) {
 	f.Add("Status: 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	f.Add("Content-Type: text/plain\n\nto the end")
+	f.Add("Status: 200 OK\r\nContent-Length: 3000000000\r\n\r\nok")
+	f.Add("Status: 200 OK\r\nContent-Length: -2\r\n\r\nok")
+	f.Add(strings.Repeat("X: y\r\n", 1000))
 	f.Fuzz(func(t *testing.T, in string) {
 		a, err := readResponse(bufio.NewReader(strings.NewReader(in)), 100)
 		if err == nil && (len(a.body) > 100 || a.status < 100 || a.status > 599) {
--- a/record.go
+++ b/record.go
@@ -52,6 +52,7 @@
 	idleAfter           time.Duration // connections idle for longer are closed; 0: the longest
 	refused             [parts]int    // since the overload began, by part
 	overload, slowCalls bool          // as last logged
+	slowSince           time.Duration // when the calls were last seen as logged
 	read, shed          float64       // requests read and refused since the last sample
 	pressure            float64       // from 0 to 1, what callers are told of it
 	drainingAt          time.Duration
--- a/shedder.go
+++ b/shedder.go
@@ -322,7 +322,10 @@
 			s.host.Log(fmt.Sprintf("overload begins: CPU %.2f, %d in hand", s.cpu.Value(), len(s.requests)))
 		}
 	}
-	if slow := s.callTime > crowded*s.callBase; slow != s.slowCalls {
+	slow := s.callTime > crowded*s.callBase
+	if slow == s.slowCalls {
+		s.slowSince = s.now
+	} else if s.now-s.slowSince >= windowSpan { // single calls swing far
 		s.slowCalls = slow
 		s.host.Log(fmt.Sprintf("calls slow: %v, they take %.2f s and took %.2f s", slow, s.callTime, s.callBase))
 	}
--- a/shedder_test.go
+++ b/shedder_test.go
@@ -480,6 +480,25 @@
 	}
 }
 
+// Who is on call hears of slow calls once they have been slow for a while, not of every few that were.
+func TestSlowCallsAreLogged(t *testing.T) {
+	s, h := start(t)
+	s.callBase = 1
+	for i := range 400 {
+		s.callTime = []float64{1, 3}[i%2]
+		s.Tick(s.now+sampleEvery, Gauges{})
+	}
+	if h.did("log calls") {
+		t.Errorf("every swing is logged: %v", h.lines)
+	}
+	s.callTime = 3
+	s.Tick(s.now+sampleEvery, Gauges{})
+	s.Tick(s.now+windowSpan+sampleEvery, Gauges{})
+	if !h.did("log calls slow: true, they take 3.00 s and took 1.00 s") {
+		t.Errorf("not logged: %v", h.lines)
+	}
+}
+
 func TestDrain(t *testing.T) {
 	s, h := start(t)
 	s.Arrive(0, req("before", "pay"))
