Make a safe call whose reply broke again at once, the first time

A broken reply says nothing of the load below, so the first is asked for again at once; refused calls wait as before.

--- a/record.go
+++ b/record.go
@@ -145,6 +145,14 @@
 	return c.served / c.asked
 }
 
+// onCores is the number of runs on the cores, or waiting for disk.
+func (s *Shedder) onCores() int { return s.inState[running] + s.inState[stopping] }
+
+// begun is the number of all runs that have not ended.
+func (s *Shedder) begun() int {
+	return s.onCores() + s.inState[paused] + s.inState[blocked] + s.inState[calling]
+}
+
 // keyTable remembers requests whose effect must not be repeated, each until a time.
 type keyTable struct {
 	entries []keyEntry
--- a/shedder.go
+++ b/shedder.go
@@ -189,10 +189,13 @@
 	} else {
 		s.move(r, blocked)
 		r.callAt = now + r.backoff
-		r.backoff *= 2
-		if r.class.Effect != Safe && !o.NeverRan() {
+		switch {
+		case r.class.Effect != Safe && !o.NeverRan():
 			r.callAt = math.MaxInt64 // it may have had its effect
+		case o == Disconnected && r.backoff == firstRetry:
+			r.callAt = now // one broken reply says nothing of what lies below
 		}
+		r.backoff *= 2
 	}
 	s.settleCalls()
 	s.plan()
@@ -462,12 +465,6 @@
 	return s.memory+s.keys.kb+extra <= margin*s.set.MemoryKB && float64(s.onCores()) < s.runCap()
 }
 
-func (s *Shedder) onCores() int { return s.inState[running] + s.inState[stopping] }
-
-func (s *Shedder) begun() int {
-	return s.onCores() + s.inState[paused] + s.inState[blocked] + s.inState[calling]
-}
-
 // runCap is the number of runs that keeps every core busy: the cores, more where runs wait for disk, fewer
 // while reading crowds the cores. What lies unread can't be chosen from and grows old, and all that is on the
 // cores slows all of it down.
--- a/shedder_test.go
+++ b/shedder_test.go
@@ -459,6 +459,30 @@
 	}
 }
 
+// A safe call whose reply broke is made again at once, one that was refused later, and so is one that broke again.
+func TestBrokenReplyIsAskedForAgain(t *testing.T) {
+	for o, want := range map[Outcome]int{Disconnected: 2, Overloaded: 1, Failed: 1} {
+		s, h := start(t, func(set *Settings) {
+			set.Dependency = DependencyTier
+			set.Classes[0].WithoutCall = 0
+		})
+		s.Arrive(0, req("a", "read"))
+		s.NeedsCall(0, "a")
+		s.CallEnded(time.Millisecond, "a", o, time.Millisecond)
+		if n := h.count("call a"); n != want {
+			t.Errorf("outcome %v: %d calls at once, want %d", o, n, want)
+		}
+		s.CallEnded(2*time.Millisecond, "a", o, time.Millisecond)
+		if n := h.count("call a"); n != want {
+			t.Errorf("outcome %v twice: %d calls at once, want %d", o, n, want)
+		}
+		s.Tick(200*time.Millisecond, Gauges{})
+		if n := h.count("call a"); n != want+1 {
+			t.Errorf("outcome %v: %d calls after a while, want %d", o, n, want+1)
+		}
+	}
+}
+
 // Where a late answer is worth nothing a request that still stands at its call is failed at its aim, at once; where
 // it is worth something it goes on to its due time.
 func TestCallsEndAtTheAim(t *testing.T) {
