Serve without a configuration by a built-in worker; ask and status as clients

Need: a newcomer's first start answered 502 to everything, since nothing listened at the application server's address. Change: without a configuration both fronts serve by a stand-in interpreter over real sockets; ask sends requests to either front, status asks for the state as JSON. Health checks and the free value read a published view and no longer take the core's lock.

--- a/cmd/silverpath/main.go
+++ b/cmd/silverpath/main.go
@@ -8,9 +8,12 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"silverpath/deploy"
+	"silverpath/internal/ask"
 	"silverpath/internal/service"
 	"silverpath/internal/settings"
 )
@@ -23,15 +26,16 @@
 }
 
 func root() *cobra.Command {
-	var config string
+	var config, listen, web string
 	load := func() (settings.Config, error) {
-		if config == "" {
-			config = os.Getenv("LB_CONFIG")
+		cfg, err := read(config)
+		if err == nil && listen != "" {
+			cfg.Listen = listen
 		}
-		if config == "" {
-			return settings.Config{}, errors.New("no configuration: set LB_CONFIG or give --config")
+		if err == nil && web != "" {
+			cfg.SCGI.Listen = web
 		}
-		return settings.Load(config)
+		return cfg, err
 	}
 	cmd := &cobra.Command{
 		Use: "silverpath", Short: "An edge service that sheds load by the go-zero adaptive shedder",
@@ -40,12 +44,15 @@
 	}
 	withConfig := func(c *cobra.Command) *cobra.Command {
 		c.Args = cobra.NoArgs
-		c.Flags().StringVar(&config, "config", "", "configuration file (default: $LB_CONFIG)")
+		c.Flags().StringVar(&config, "config", "", "configuration file (default: $LB_CONFIG, else a built-in one)")
+		c.Flags().StringVar(&listen, "listen", "", "address of the MessagePack-RPC front, in place of the file's")
+		c.Flags().StringVar(&web, "scgi", "", "address of the SCGI front, in place of the file's")
 		return c
 	}
 	cmd.AddCommand(
 		withConfig(&cobra.Command{
-			Use: "serve", Short: "Run the service until SIGTERM; SIGHUP reloads the configuration, SIGUSR1 prints the counters",
+			Use:   "serve",
+			Short: "Run the service until SIGTERM; SIGHUP reloads the configuration, SIGUSR1 prints the counters",
 			RunE: func(*cobra.Command, []string) error {
 				signals := make(chan os.Signal, 8)
 				signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
@@ -63,6 +70,7 @@
 				return nil
 			},
 		}),
+		askCommand(), statusCommand(),
 		&cobra.Command{
 			Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "silverpath", version()) },
@@ -71,6 +79,82 @@
 	return cmd
 }
 
+// read reads the configuration: the file given, the one that LB_CONFIG names, or else the built-in one of a first
+// start, whose work a built-in worker does.
+func read(file string) (settings.Config, error) {
+	if file == "" {
+		file = os.Getenv("LB_CONFIG")
+	}
+	if file != "" {
+		return settings.Load(file)
+	}
+	cfg, err := settings.ParseConfig(deploy.Try, os.Getenv("LB_NAME"), "")
+	cfg.Worker, cfg.Edge.Status = true, true
+	return cfg, err
+}
+
+// front adds the flags that say which front to ask.
+func front(c *cobra.Command, name, addr *string) {
+	c.Args = cobra.NoArgs
+	c.Flags().StringVar(name, "front", ask.Platform, "the front to ask: "+ask.Platform+" or "+ask.SCGI)
+	c.Flags().StringVar(addr, "addr", "", "its address (default: that of a start without a configuration)")
+	c.PreRunE = func(*cobra.Command, []string) error {
+		known := map[string]string{ask.Platform: "127.0.0.1:4001", ask.SCGI: "127.0.0.1:4000"}
+		if known[*name] == "" {
+			return fmt.Errorf("--front: %q is neither %s nor %s", *name, ask.Platform, ask.SCGI)
+		}
+		if *addr == "" {
+			*addr = known[*name]
+		}
+		return nil
+	}
+}
+
+func askCommand() *cobra.Command {
+	var p ask.Plan
+	var body string
+	c := &cobra.Command{
+		Use: "ask", Short: "Send requests to a running service and show the answers; fails where none is served",
+		RunE: func(c *cobra.Command, _ []string) error {
+			if p.Count < 1 {
+				return fmt.Errorf("--count: not above 0: %d", p.Count)
+			}
+			p.Request.Body = []byte(body)
+			served, err := ask.Run(p, c.OutOrStdout())
+			if served == 0 && err == nil {
+				err = errors.New("nothing was served")
+			}
+			return err
+		},
+	}
+	front(c, &p.Front, &p.Addr)
+	f := c.Flags()
+	f.StringVar(&p.Request.Class, "class", "krog", "the class")
+	f.StringVar(&p.Request.Tenant, "tenant", "", "the tenant")
+	f.StringVar(&p.Request.Key, "key", "", "the key that makes all that is sent tries of one request")
+	f.StringVar(&body, "body", "hello", "the body")
+	f.DurationVar(&p.Request.Wait, "wait", 4*time.Second, "how long to wait for an answer")
+	f.IntVar(&p.Count, "count", 1, "how many requests")
+	f.DurationVar(&p.Every, "every", 0, "one each so often, whatever becomes of the others (default: one after the other)")
+	return c
+}
+
+func statusCommand() *cobra.Command {
+	var name, addr string
+	c := &cobra.Command{
+		Use: "status", Short: "Show the state of a running service as JSON",
+		RunE: func(c *cobra.Command, _ []string) error {
+			body, err := ask.Status(name, addr)
+			if err == nil {
+				fmt.Fprintf(c.OutOrStdout(), "%s\n", body)
+			}
+			return err
+		},
+	}
+	front(c, &name, &addr)
+	return c
+}
+
 // version is what the build recorded: the module's version, or the revision it was built from.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
--- /dev/null
+++ b/deploy/deploy.go
@@ -0,0 +1,10 @@
+// Package deploy holds the files that operators start from. Those that the program starts with where it is given
+// none are part of it.
+package deploy
+
+import _ "embed"
+
+// Try is the configuration of a first start, whose work a built-in worker does.
+//
+//go:embed try.json
+var Try []byte
--- /dev/null
+++ b/internal/ask/ask.go
@@ -0,0 +1,313 @@
+// Package ask is a client of either front: it sends requests, or one status request, and says what came of them.
+package ask
+
+import (
+	"bufio"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/scgi"
+)
+
+// The fronts, by their names on the command line.
+const (
+	Platform = msgpackrpc.Name
+	SCGI     = scgi.Name
+)
+
+// Request is what is asked. A key makes all tries that carry it one request.
+type Request struct {
+	Class, Tenant, Key string
+	Body               []byte
+	Wait               time.Duration // how long the caller waits
+	ID                 string        // 16 hexadecimal digits; empty: a new one. SCGI has the service make them
+	HeldKB             float64       // memory to book; 0: 1
+}
+
+// Reply is the one answer, whichever front it came from.
+type Reply struct {
+	Outcome string // served, refused or failed
+	Body    []byte
+	After   time.Duration // refused: when to come back
+}
+
+const dialTimeout = 2 * time.Second
+
+// newID returns 16 random hexadecimal digits.
+func newID() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Conn is a connection to the platform's front that carries many requests at a time.
+type Conn struct {
+	conn net.Conn
+
+	mu     sync.Mutex
+	next   uint64
+	open   map[uint64]chan Reply
+	called bool // told to bring no more
+	broken bool
+}
+
+// Dial opens a connection to the platform's front.
+func Dial(addr string) (*Conn, error) {
+	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("connecting: %w", err)
+	}
+	c := &Conn{conn: conn, open: map[uint64]chan Reply{}}
+	go c.read()
+	return c, nil
+}
+
+// Close ends the connection; what is open on it gets no reply.
+func (c *Conn) Close() { c.conn.Close() }
+
+// Usable reports whether the connection takes further requests.
+func (c *Conn) Usable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.broken && !c.called
+}
+
+func (c *Conn) read() {
+	r := bufio.NewReader(c.conn)
+	for {
+		a, err := msgpackrpc.ReadReply(r)
+		c.mu.Lock()
+		if err != nil {
+			c.broken = true
+			for id, reply := range c.open {
+				delete(c.open, id)
+				close(reply)
+			}
+			c.mu.Unlock()
+			c.conn.Close()
+			return
+		}
+		if a.Notification != "" {
+			c.called = true
+			c.mu.Unlock()
+			continue
+		}
+		reply := c.open[a.ID]
+		delete(c.open, a.ID)
+		c.mu.Unlock()
+		if reply == nil {
+			continue
+		}
+		out := Reply{Body: a.Body, Outcome: "served"}
+		switch a.Error {
+		case "":
+		case "Full":
+			ms, _ := strconv.Atoi(a.Fields["w"])
+			out = Reply{Outcome: "refused", After: time.Duration(ms) * time.Millisecond}
+		default:
+			out = Reply{Outcome: "failed"}
+		}
+		reply <- out
+	}
+}
+
+// send writes one message made for the next id. The channel gets the reply, or is closed without one.
+func (c *Conn) send(message func(id uint64) []byte) <-chan Reply {
+	reply := make(chan Reply, 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken {
+		close(reply)
+		return reply
+	}
+	c.next++
+	c.open[c.next] = reply
+	c.conn.SetWriteDeadline(time.Now().Add(dialTimeout))
+	if _, err := c.conn.Write(message(c.next)); err != nil {
+		c.conn.Close() // the reader closes what is open
+	}
+	return reply
+}
+
+// Ask sends a request.
+func (c *Conn) Ask(q Request) <-chan Reply {
+	if q.ID == "" {
+		q.ID = newID()
+	}
+	if q.HeldKB == 0 {
+		q.HeldKB = 1
+	}
+	fields := []string{"i", q.ID, "s", strconv.FormatInt(time.Now().UnixMilli(), 10), "f", "0",
+		"d", strconv.FormatInt(q.Wait.Milliseconds(), 10), "m", strconv.FormatFloat(q.HeldKB, 'f', 2, 64)}
+	if q.Tenant != "" {
+		fields = append(fields, "t", q.Tenant)
+	}
+	if q.Key != "" {
+		fields = append(fields, "k", q.Key)
+	}
+	return c.send(func(id uint64) []byte { return msgpackrpc.AppendRequest(nil, id, q.Class, q.Body, fields...) })
+}
+
+// Probe sends a health check; a good one is served.
+func (c *Conn) Probe() <-chan Reply {
+	return c.send(func(id uint64) []byte { return msgpackrpc.AppendProbe(nil, id) })
+}
+
+// Status asks for the state of the service; the body is JSON.
+func (c *Conn) Status() <-chan Reply {
+	return c.send(func(id uint64) []byte { return msgpackrpc.AppendStatus(nil, id) })
+}
+
+// overSCGI sends one request on a connection of its own, as SCGI has it.
+func overSCGI(addr string, body []byte, wait time.Duration, headers ...string) (Reply, error) {
+	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if err != nil {
+		return Reply{}, fmt.Errorf("connecting: %w", err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(wait + dialTimeout))
+	if _, err := conn.Write(scgi.AppendRequest(nil, body, headers...)); err != nil {
+		return Reply{}, fmt.Errorf("asking: %w", err)
+	}
+	a, err := scgi.ReadReply(bufio.NewReader(conn))
+	if err != nil {
+		return Reply{}, err
+	}
+	switch a.Status {
+	case 200:
+		return Reply{Outcome: "served", Body: a.Body}, nil
+	case 503:
+		return Reply{Outcome: "refused", After: a.RetryAfter}, nil
+	}
+	return Reply{Outcome: "failed", Body: a.Body}, nil
+}
+
+func headers(q Request) []string {
+	h := []string{"REQUEST_METHOD", "POST", "PATH_INFO", "/" + q.Class,
+		"HTTP_X_TIMEOUT_MS", strconv.FormatInt(q.Wait.Milliseconds(), 10)}
+	if q.Tenant != "" {
+		h = append(h, "HTTP_X_TENANT", q.Tenant)
+	}
+	if q.Key != "" {
+		h = append(h, "HTTP_IDEMPOTENCY_KEY", q.Key)
+	}
+	return h
+}
+
+var errNoAnswer = errors.New("the connection ended without an answer")
+
+// Once asks one thing of a front on a connection of its own.
+func Once(front, addr string, q Request) (Reply, error) {
+	if front == SCGI {
+		return overSCGI(addr, q.Body, q.Wait, headers(q)...)
+	}
+	return once(addr, q.Wait, func(c *Conn) <-chan Reply { return c.Ask(q) })
+}
+
+func once(addr string, wait time.Duration, ask func(*Conn) <-chan Reply) (Reply, error) {
+	c, err := Dial(addr)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer c.Close()
+	select {
+	case a, ok := <-ask(c):
+		if !ok {
+			return a, errNoAnswer
+		}
+		return a, nil
+	case <-time.After(wait + dialTimeout):
+		return Reply{}, fmt.Errorf("no answer within %v", wait+dialTimeout)
+	}
+}
+
+// Status asks a front for the state of the service, as JSON.
+func Status(front, addr string) ([]byte, error) {
+	var a Reply
+	var err error
+	if front == SCGI {
+		a, err = overSCGI(addr, nil, dialTimeout, "REQUEST_METHOD", "GET", "PATH_INFO", "/"+msgpackrpc.StatusMethod)
+	} else {
+		a, err = once(addr, dialTimeout, (*Conn).Status)
+	}
+	switch {
+	case err != nil:
+		return nil, err
+	case a.Outcome != "served":
+		return nil, errors.New("the service gives no status: see \"status\" in its edge file")
+	}
+	return a.Body, nil
+}
+
+// Plan is what Run sends: Count requests, one every Every by the clock, whatever becomes of those before.
+type Plan struct {
+	Front, Addr string
+	Request     Request
+	Count       int
+	Every       time.Duration // 0: each after the answer of the one before
+}
+
+// Run sends what is planned, prints every answer and a summary, and reports how many were served. The times count
+// from the moment at which a request was to be sent, so that a stall is seen by all that it holds up.
+func Run(p Plan, out io.Writer) (served int, err error) {
+	type result struct {
+		n    int
+		took time.Duration
+		a    Reply
+		err  error
+	}
+	results := make(chan result)
+	began := time.Now()
+	go func() {
+		var wg sync.WaitGroup
+		for n := range p.Count {
+			due := time.Now()
+			if p.Every > 0 {
+				due = began.Add(time.Duration(n) * p.Every)
+				time.Sleep(time.Until(due))
+			}
+			ask := func() {
+				a, err := Once(p.Front, p.Addr, p.Request)
+				results <- result{n + 1, time.Since(due), a, err}
+			}
+			if p.Every <= 0 {
+				ask()
+				continue
+			}
+			wg.Go(ask)
+		}
+		wg.Wait()
+		close(results)
+	}()
+	h := hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+	outcomes := map[string]int{}
+	for r := range results {
+		what := r.a.Outcome
+		switch {
+		case r.err != nil:
+			what, err = "no answer", r.err
+			fmt.Fprintf(out, "%d: no answer after %v: %v\n", r.n, r.took.Round(time.Microsecond), r.err)
+		case what == "refused":
+			fmt.Fprintf(out, "%d: refused after %v, come back in %v\n", r.n, r.took.Round(time.Microsecond), r.a.After)
+		default:
+			fmt.Fprintf(out, "%d: %s after %v: %s\n", r.n, what, r.took.Round(time.Microsecond), r.a.Body)
+		}
+		outcomes[what]++
+		h.RecordValue(r.took.Microseconds())
+	}
+	at := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
+	fmt.Fprintf(out, "%d asked: %d served, %d refused, %d failed, %d without an answer; p50 %v, p99 %v, longest %v\n",
+		p.Count, outcomes["served"], outcomes["refused"], outcomes["failed"], outcomes["no answer"],
+		at(50), at(99), time.Duration(h.Max())*time.Microsecond)
+	return outcomes["served"], err
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"silverpath"
@@ -88,14 +89,17 @@
 
 // Config sets up a Core.
 type Config struct {
+	Name     string
 	Settings silverpath.Settings
 	MemoryMB float64 // the process's own limit
+	Status   bool    // fronts answer requests for the state of the service
 	Log      *log.Logger
 	Stats    *stats.Counters
 }
 
 // Core is the service's one object: its phase, the module and all requests in hand.
 type Core struct {
+	name   string
 	set    silverpath.Settings
 	log    *log.Logger
 	stats  *stats.Counters
@@ -103,6 +107,9 @@
 	caller Caller
 	base   time.Time
 	idle   chan struct{} // closed when draining and nothing is owed
+	shown  atomic.Pointer[View]
+
+	tellStatus bool
 
 	mu        sync.Mutex
 	module    *silverpath.Shedder
@@ -113,10 +120,7 @@
 	owed      int
 	maxTasks  int
 	keys      keyTable
-	health    bool
-	signal    float64
-	signalSet bool
-	idleAfter time.Duration
+	view      View
 	gauges    silverpath.Gauges
 	ticking   bool // a tick waits for its gauges
 	swept     time.Time
@@ -132,8 +136,8 @@
 		set.Classes[i].WithoutCall = 0
 	}
 	c := &Core{
-		set: set, log: cfg.Log, stats: cfg.Stats, base: time.Now(), idle: make(chan struct{}),
-		tasks: map[string]*task{}, health: true,
+		name: cfg.Name, tellStatus: cfg.Status, set: set, log: cfg.Log, stats: cfg.Stats, base: time.Now(), idle: make(chan struct{}),
+		tasks: map[string]*task{}, view: View{Health: true},
 		maxTasks: max(64, int(cfg.MemoryMB*1024/2/taskKB)),
 		keys:     newKeyTable(int(cfg.MemoryMB * (1 << 20) / memoryShare)),
 	}
@@ -143,6 +147,7 @@
 	if c.log == nil {
 		c.log = log.Default()
 	}
+	c.show()
 	return c, nil
 }
 
@@ -178,20 +183,18 @@
 		act()
 	}
 	c.actions = nil
+	c.show()
 }
 
 // ---- Phases ----
 
 // Phase returns the current phase.
-func (c *Core) Phase() Phase {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase
-}
+func (c *Core) Phase() Phase { return c.shown.Load().Phase }
 
 func (c *Core) enter(p Phase) {
 	if p > c.phase {
 		c.phase = p
+		c.show()
 		c.log.Printf("phase %v", p)
 	}
 }
@@ -233,11 +236,7 @@
 }
 
 // Owed returns the number of requests that have not had their answer.
-func (c *Core) Owed() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.owed
-}
+func (c *Core) Owed() int { return c.shown.Load().Owed }
 
 func (c *Core) settled() {
 	if c.phase >= Draining && c.owed == 0 {
@@ -252,25 +251,16 @@
 // ---- What fronts ask ----
 
 // Health is what a health check is told.
-func (c *Core) Health() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.health
-}
+func (c *Core) Health() bool { return c.shown.Load().Health }
 
 // Signal is the value that goes out with answers from now on, and whether there is one.
 func (c *Core) Signal() (float64, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.signal, c.signalSet
+	v := c.shown.Load()
+	return v.Signal, v.SignalSet
 }
 
 // IdleAfter is how long a connection may carry nothing before it is closed; 0 leaves that to the callers.
-func (c *Core) IdleAfter() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.idleAfter
-}
+func (c *Core) IdleAfter() time.Duration { return c.shown.Load().IdleAfter }
 
 // Class returns the settings of a class.
 func (c *Core) Class(name string) (silverpath.Class, bool) {
@@ -374,17 +364,17 @@
 
 func (h *host) Health(good bool) {
 	c := (*Core)(h)
-	c.actions = append(c.actions, func() { c.health = good })
+	c.actions = append(c.actions, func() { c.view.Health = good })
 }
 
 func (h *host) Signal(value float64) {
 	c := (*Core)(h)
-	c.actions = append(c.actions, func() { c.signal, c.signalSet = value, true })
+	c.actions = append(c.actions, func() { c.view.Signal, c.view.SignalSet = value, true })
 }
 
 func (h *host) CloseIdle(after time.Duration) {
 	c := (*Core)(h)
-	c.actions = append(c.actions, func() { c.idleAfter = after })
+	c.actions = append(c.actions, func() { c.view.IdleAfter = after })
 }
 
 func (h *host) Wake(after time.Duration) {
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -339,6 +339,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.owed--
+	c.show()
 	c.settled()
 }
 
--- /dev/null
+++ b/internal/core/view.go
@@ -0,0 +1,27 @@
+package core
+
+import "time"
+
+// View is what can be told without asking the module: health checks, status requests and the values that go out
+// with answers read it without the core's lock, so they never wait behind a decision.
+type View struct {
+	Phase     Phase
+	Health    bool
+	Owed      int // requests without their answer
+	InHand    int // requests of which something is left to do
+	Signal    float64
+	SignalSet bool
+	IdleAfter time.Duration
+	Gauges    [3]float64 // cores busy, work on the cores, share of the memory
+}
+
+// View returns the latest.
+func (c *Core) View() View { return *c.shown.Load() }
+
+// show publishes what changed; it is called under the lock.
+func (c *Core) show() {
+	v := c.view
+	v.Phase, v.Owed, v.InHand = c.phase, c.owed, len(c.tasks)
+	v.Gauges = [3]float64{c.gauges.CPU, c.gauges.OnCores, c.gauges.Memory}
+	c.shown.Store(&v)
+}
--- a/internal/msgpackrpc/client.go
+++ b/internal/msgpackrpc/client.go
@@ -27,6 +27,12 @@
 	return appendFields(appendArray(appendText(b, probe), 1), nil)
 }
 
+// AppendStatus appends a request for the state of the service.
+func AppendStatus(b []byte, id uint64) []byte {
+	b = appendUint(appendUint(appendArray(b, 4), uint64(request)), id)
+	return appendFields(appendArray(appendText(b, StatusMethod), 1), nil)
+}
+
 // AppendGiveUp appends the notice that nobody waits for a request any more.
 func AppendGiveUp(b []byte, id uint64) []byte {
 	b = appendText(appendUint(appendArray(b, 3), uint64(notification)), giveUp)
@@ -36,7 +42,7 @@
 // ReadReply reads the next message of a service.
 func ReadReply(r *bufio.Reader) (Reply, error) {
 	var a Reply
-	d := decoder{r}
+	d := decoder{r: r}
 	n, err := d.array()
 	if err != nil {
 		return a, err
--- a/internal/msgpackrpc/decode.go
+++ b/internal/msgpackrpc/decode.go
@@ -36,12 +36,16 @@
 	kind   kind
 	id     uint64 // of a request, or the one that giveUp names
 	method string
+	status bool // asks for the state of the service
 	fields map[string]string
 	body   []byte
 }
 
 // decoder reads MessagePack values from a connection, with no value larger than its bound.
-type decoder struct{ r *bufio.Reader }
+type decoder struct {
+	r      *bufio.Reader
+	status bool // status requests are known
+}
 
 // number reads a big-endian number of n bytes.
 func (d decoder) number(n int) (uint64, error) {
@@ -262,6 +266,8 @@
 		taken = 1
 		m.id, err = d.uint()
 	case m.kind == request && m.method == probe:
+	case m.kind == request && m.method == StatusMethod && params <= 1 && d.status:
+		m.status = true
 	case m.kind == request:
 		if params < 2 {
 			return malformed("%d parameters of %q", params, m.method)
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -22,6 +22,9 @@
 const Name = "msgpack"
 
 const (
+	// StatusMethod asks for the state of the service as JSON, where the core tells it.
+	StatusMethod = "status"
+
 	probe    = "probe"
 	giveUp   = "giveUp"
 	lastCall = "lastCall"
@@ -64,7 +67,7 @@
 	slot.OnLeave(c.lastCall)
 	r := buf.Reader(conn)
 	defer buf.PutReader(r)
-	d := decoder{r}
+	d := decoder{r: r, status: f.core.TellsStatus()}
 	var requests sync.WaitGroup
 	var err error
 	conn.SetReadDeadline(time.Now().Add(front.WholeWithin)) // who connects and says nothing keeps no place
@@ -118,6 +121,11 @@
 		c.write(func(b []byte) []byte { return appendProbe(b, m.id, c.core.Health(), c.signal(nil)) })
 		return nil
 	}
+	if m.status {
+		c.stats.Inc("status", Name)
+		c.reply(m.id, core.Answer{Outcome: core.Served, Body: c.core.Status()})
+		return nil
+	}
 	r, problem := mapRequest(m, time.Now(), c.core)
 	c.mu.Lock()
 	if _, twice := c.open[m.id]; twice {
--- a/internal/scgi/front.go
+++ b/internal/scgi/front.go
@@ -87,6 +87,12 @@
 	defer buf.PutReader(r)
 	conn.SetReadDeadline(time.Now().Add(front.WholeWithin))
 	m, err := readMessage(r, f.cfg.MaxBody)
+	if err == nil && f.asksStatus(m.headers) {
+		f.stats.Inc("status", Name)
+		f.write(conn, statusOf[core.Served], f.core.Status(), "application/json", "Cache-Control", "no-store")
+		linger(conn, r)
+		return
+	}
 	if err == nil {
 		var q core.Request
 		if q, err = f.mapRequest(m, time.Now(), conn.RemoteAddr()); err == nil {
@@ -229,6 +235,17 @@
 	return q, nil
 }
 
+// statusPath asks for the state of the service, where the core tells it and no class has that name.
+const statusPath = "/status"
+
+func (f *Front) asksStatus(h map[string]string) bool {
+	if h["PATH_INFO"] != statusPath || h[headerClass] != "" || !f.core.TellsStatus() {
+		return false
+	}
+	_, known := f.core.Class(statusPath[1:])
+	return !known
+}
+
 // class finds the class: the header, else the path's first part, else the configured one.
 func (f *Front) class(h map[string]string) (silverpath.Class, bool) {
 	name := h[headerClass]
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -21,6 +21,7 @@
 	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
 	"silverpath/internal/snmp"
+	"silverpath/internal/standin"
 	"silverpath/internal/stats"
 	"silverpath/internal/vault"
 )
@@ -69,10 +70,11 @@
 	listeners []*front.Listener
 	keep      []func(context.Context)
 	agent     *snmp.Agent
-	link      *interp.Link       // nil where an application server does the work
-	below     *vault.Client      // likewise
-	reporter  *announce.Reporter // reports nowhere while its address is empty
-	lead      time.Duration      // from the notice to leave until peers are asked to leave too
+	link      *interp.Link         // nil where an application server does the work
+	below     *vault.Client        // likewise
+	worker    *standin.Interpreter // nil but in a start without a configuration
+	reporter  *announce.Reporter   // reports nowhere while its address is empty
+	lead      time.Duration        // from the notice to leave until peers are asked to leave too
 }
 
 // lead is how long peers are served as before once the service was told to leave: see drain.
@@ -84,10 +86,20 @@
 func New(cfg settings.Config, l *log.Logger) (*Service, error) {
 	s := &Service{cfg: cfg, log: l, stats: &stats.Counters{}, lead: lead(cfg)}
 	var err error
-	s.core, err = core.New(core.Config{Settings: cfg.Server, MemoryMB: cfg.MemoryMB, Log: l, Stats: s.stats})
+	s.core, err = core.New(core.Config{
+		Name: cfg.Name, Settings: cfg.Server, MemoryMB: cfg.MemoryMB, Status: cfg.Edge.Status, Log: l, Stats: s.stats,
+	})
 	if err != nil {
 		return nil, err
 	}
+	if cfg.Worker {
+		if s.worker, err = worker(cfg); err != nil {
+			return nil, err
+		}
+		cfg.VM = s.worker.Addr()
+		s.cfg.VM = cfg.VM
+		l.Printf("worker: no configuration: the built-in worker at %s does the work, which is to send back what came", cfg.VM)
+	}
 	b := budget(cfg)
 	var runner core.Runner
 	if cfg.SCGI.Upstream != "" {
@@ -136,6 +148,9 @@
 // end of the process; where it differs, the log says so and the old one holds.
 func (s *Service) Reload(cfg settings.Config) {
 	old := s.cfg
+	if s.worker != nil {
+		cfg.VM = old.VM
+	}
 	if s.link != nil && cfg.VM != "" && cfg.VM != old.VM {
 		s.log.Printf("reload: vm: from %s to %s", old.VM, cfg.VM)
 		s.cfg.VM = cfg.VM
@@ -173,6 +188,19 @@
 	for _, l := range s.listeners {
 		l.Close()
 	}
+	if s.worker != nil {
+		s.worker.Close()
+	}
+}
+
+// worker starts the built-in worker: an interpreter whose work takes as long as the operators' own typically does.
+func worker(cfg settings.Config) (*standin.Interpreter, error) {
+	n := cfg.Server.Cores
+	return standin.Listen(standin.Config{
+		Listen: "127.0.0.1:0", Cores: n, Shape: standin.Shape{Knee: float64(n), Thrash: 1, Speed: 1},
+		Other:    standin.Class{Least: 60 * time.Millisecond, Most: 100 * time.Millisecond},
+		MemoryKB: cfg.Server.MemoryKB, RunFactor: cfg.Server.RunFactor, Seed: uint64(cfg.Seed),
+	})
 }
 
 // Addrs are the addresses listened on, in the order platform, SCGI, SNMP.
@@ -195,6 +223,9 @@
 func (s *Service) Run(leave <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if s.worker != nil {
+		defer s.worker.Close()
+	}
 	for _, keep := range s.keep {
 		go keep(ctx)
 	}
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -28,6 +28,8 @@
 	Sockets  int
 	SCGI     SCGI
 	SNMP     SNMP
+	Worker   bool // the built-in worker does the work: set by a start without a configuration
+	Edge     Edge
 	Server   silverpath.Settings
 	Gauges   []string // the order of the gauges
 }
