--- a/internal/lab/refusal_test.go
+++ b/internal/lab/refusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -112,7 +113,7 @@
 			each := (p.CPU() - before) / time.Duration(max(1, sent))
 			fmt.Printf("| %s | %s | %.0f | %d | %d | %v | %v | %v | %v |\n", v.name, c.name, c.rate, sent, as, each.Round(time.Microsecond/10),
 				At(h, 50), At(h, 99), At(h, 100))
-			b.ReportMetric(float64(each.Nanoseconds())/1000, fmt.Sprintf("us/%s-%s", v.name, c.name[:7]))
+			b.ReportMetric(float64(each.Nanoseconds())/1000, fmt.Sprintf("us/%s-%s", v.name, strings.NewReplacer(" ", "-", ",", "").Replace(c.name)))
 		}
 		for _, c := range conns {
 			c.Close()
