Reserve under a flood of probes: interruptible pacing, one free call for newcomers

Seen: with 500 connections that only probe, the reserve made quiet peers wait 4 s: paced connections kept their place while they slept, and who came back got 20 free calls. Each SCGI connection cost three calls for the kernel's keep-alive and two for lingering after a refusal. Change: who gives way is woken, chosen once, and the coming and going is paced; a newcomer has one call at once; no keep-alive set-up; a refused SCGI request that came whole is closed plainly.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"log"
 	"net"
@@ -21,7 +22,8 @@
 	id    uint64
 	owner *Listener
 	conn  net.Conn
-	leave func() // asks the peer to leave
+	leave func()        // asks the peer to leave
+	cut   chan struct{} // closed as the connection gives way to another
 
 	// Under the owner's lock:
 	open  int // requests
@@ -78,7 +80,12 @@
 	l.mu.Unlock()
 	if wait > 0 {
 		l.stats.Inc("paced", l.name)
-		time.Sleep(wait)
+		hold := time.NewTimer(wait)
+		defer hold.Stop()
+		select {
+		case <-hold.C:
+		case <-s.cut: // its place is needed now, not when its turn comes
+		}
 	}
 }
 
@@ -116,9 +123,11 @@
 	mu       sync.Mutex
 	seq      uint64
 	slots    map[*Slot]bool
+	byID     map[uint64]*Slot // with a reserve
 	freed    chan struct{}
 	draining bool
 	closed   bool
+	gaveWay  int // connections that asked too much; the accepting goroutine's own
 	serving  sync.WaitGroup
 	logSince time.Time // of the second in which logged lines are counted
 	logged   int
@@ -131,6 +140,10 @@
 const (
 	sweepEvery = 250 * time.Millisecond
 	mostLines  = 10 // logged in a second about peers
+	// evictPause follows every evictBurst connections that gave way since they ask too much: who does so comes back at
+	// once, and its coming and going must not take the process's time.
+	evictPause = time.Millisecond
+	evictBurst = 8
 	// idleGrace is the least time that a connection over the budget must have idled: a request that crosses
 	// its close within 50 ms is sent again, one that was under way before would be lost.
 	idleGrace = 100 * time.Millisecond
@@ -139,7 +152,9 @@
 // Listen opens a front's address for at most the given number of connections. The idle function tells how
 // long a connection may carry nothing; 0 is without end.
 func Listen(name, addr string, most int, idle func() time.Duration, handle Handler, l *log.Logger, s *stats.Counters) (*Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+	// Who says nothing is closed by time limits of our own, so that the kernel's probes are not needed; setting them up
+	// would cost each connection three calls.
+	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -150,7 +165,7 @@
 func New(name string, ln net.Listener, most int, idle func() time.Duration, handle Handler, l *log.Logger, s *stats.Counters) *Listener {
 	return &Listener{
 		name: name, ln: ln, most: max(1, most), handle: handle, idle: idle, log: l, stats: s,
-		began: time.Now(), slots: map[*Slot]bool{}, freed: make(chan struct{}, 1),
+		began: time.Now(), slots: map[*Slot]bool{}, byID: map[uint64]*Slot{}, freed: make(chan struct{}, 1),
 	}
 }
 
@@ -191,13 +206,14 @@
 		}
 		l.stats.Inc("connections", l.name)
 		l.room() // only now, so that no idle connection is closed for one that may never come
-		s := &Slot{owner: l, conn: conn, since: time.Now()}
+		s := &Slot{owner: l, conn: conn, since: time.Now(), cut: make(chan struct{})}
 		l.mu.Lock()
 		l.seq++
 		s.id = l.seq
 		l.slots[s] = true
 		if l.reserve != nil {
 			l.reserve.Opened(time.Since(l.began), s.id)
+			l.byID[s.id] = s
 		}
 		l.serving.Add(1)
 		l.mu.Unlock()
@@ -215,6 +231,7 @@
 	delete(l.slots, s)
 	if l.reserve != nil {
 		l.reserve.Closed(s.id)
+		delete(l.byID, s.id)
 	}
 	l.mu.Unlock()
 	select {
@@ -240,20 +257,26 @@
 			l.mu.Unlock()
 			return
 		}
-		var least *Slot
 		if l.reserve != nil {
-			if id, some := l.reserve.Victim(time.Since(l.began)); some {
-				for s := range l.slots {
-					if s.id == id {
-						least = s
-					}
+			if id, some := l.reserve.Victim(time.Since(l.began)); some && l.byID[id] != nil {
+				victim := l.byID[id]
+				delete(l.byID, id) // chosen once
+				l.mu.Unlock()
+				l.stats.Inc("evicted", l.name)
+				victim.conn.Close()
+				close(victim.cut)
+				if l.gaveWay++; l.gaveWay%evictBurst == 0 {
+					time.Sleep(evictPause)
 				}
+				select {
+				case <-l.freed:
+				case <-time.After(idleGrace / 2):
+				}
+				continue
 			}
 		}
+		var least *Slot
 		for s := range l.slots {
-			if least != nil && l.reserve != nil {
-				break
-			}
 			if s.open == 0 && time.Since(s.since) >= idleGrace && (least == nil || s.before(least)) {
 				least = s
 			}
--- a/internal/msgpackrpc/decode_test.go
+++ b/internal/msgpackrpc/decode_test.go
@@ -200,3 +200,24 @@
 		t.Errorf("a body said to hold 2 GB: %v", err)
 	}
 }
+
+// What reading a request costs, whole and passed over.
+func BenchmarkRead(b *testing.B) {
+	raw := AppendRequest(nil, 3, "lestvica", bytes.Repeat([]byte("x"), 200), "i", "9b1f03aa5c7e2d41", "s", "1764576000123",
+		"f", "4", "t", "acme", "d", "480", "m", "24.5", "p", "0.6250")
+	for _, shut := range []bool{false, true} {
+		b.Run(map[bool]string{false: "whole", true: "passed-over"}[shut], func(b *testing.B) {
+			b.ReportAllocs()
+			src := bytes.NewReader(raw)
+			r := bufio.NewReader(src)
+			d := decoder{r: r, shut: func(string) bool { return shut }}
+			for b.Loop() {
+				src.Reset(raw)
+				r.Reset(src)
+				if m, err := d.message(); err != nil || m.unread != shut {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/pools/reserve.go
+++ b/internal/pools/reserve.go
@@ -114,7 +114,7 @@
 // Opened is told of a new connection. It carries nothing yet.
 func (r *Reserve) Opened(now time.Duration, id uint64) {
 	p := &peer{id: id}
-	p.calls = bucket{tokens: r.cfg.Each * burstSpan.Seconds(), at: now}
+	p.calls = bucket{tokens: 1, at: now} // one at once: who comes anew gains nothing by it
 	r.conns[id] = p
 }
 
@@ -210,6 +210,7 @@
 	if worst == nil {
 		return 0, false
 	}
+	worst.waiting = 0 // chosen once
 	r.stats.Victims++
 	return worst.id, true
 }
--- a/internal/scgi/front.go
+++ b/internal/scgi/front.go
@@ -103,7 +103,9 @@
 			}
 			if refused {
 				f.reply(conn, a)
-				linger(conn, r)
+				if uint64(r.Buffered()) < m.size { // else all has come, and a plain close resets nothing
+					linger(conn, r)
+				}
 				return
 			}
 		}
