Tests of pools in the core, over SCGI and SNMP; the limit searched at a flatter slope

Seen: at a slope of 0.5 the limit of all that is on the cores settled at 0.88 of the point where reading comes and goes. Change: the limit stands still at a slope of 0.2; runs keep 0.15 of it however much is read; tests of memory, status, doors and stand-in.

--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -162,3 +162,45 @@
 		}
 	})
 }
+
+// With the booked memory at 95% nothing new is taken, and the repeats of a sheet that has run are answered from what is
+// kept: never refused, never run again.
+func TestRepeatsWhileMemoryIsCritical(t *testing.T) {
+	pooled(t, two(), func(c *Core, r *busyRunner, _ *stats.Counters, _ func() string) {
+		try := func(id, key string) Answer {
+			got := make(chan Answer, 1)
+			now := time.Now()
+			go c.Serve(Request{Front: "test", ID: id, Class: "oddaja", Key: key, HeldKB: 1, Reached: now, Due: now.Add(4 * time.Second)},
+				func(a Answer) { got <- a })
+			synctest.Wait()
+			select {
+			case a := <-got:
+				return a
+			default:
+				return Answer{Outcome: -1}
+			}
+		}
+		if a := try("s1", "k1"); a.Outcome != -1 {
+			t.Fatalf("%+v before the run has ended", a)
+		}
+		c.Ended("s1", silverpath.OK, time.Millisecond, []byte("scored"))
+		synctest.Wait()
+		r.mu.Lock()
+		r.memory = 0.95
+		r.mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		for i := range 20 {
+			if a := try(fmt.Sprint("new", i), fmt.Sprint("other", i)); a.Outcome != Refused || a.Wait == 0 {
+				t.Fatalf("a new sheet: %+v", a)
+			}
+			if a := try(fmt.Sprint("again", i), "k1"); a.Outcome != Served || string(a.Body) != "scored" {
+				t.Fatalf("a repeat: %+v", a)
+			}
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.runs != 1 {
+			t.Errorf("%d runs", r.runs)
+		}
+	})
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -200,6 +200,7 @@
 	mu                      sync.Mutex
 	Sent, Served, Late      int
 	Refused, Failed, Lost   int
+	ToldLate                int // refused over 100 ms after sending
 	Worth, Asked            float64
 	Refusals, Cheap         *hdrhistogram.Histogram // microseconds
 	CheapLost, CheapWrong   int
@@ -310,6 +311,9 @@
 	case a.Outcome == "refused":
 		res.Refused++
 		res.Refusals.RecordValue(took.Microseconds())
+		if took > 100*time.Millisecond {
+			res.ToldLate++
+		}
 	default:
 		res.Failed++
 	}
--- a/internal/lab/overload_test.go
+++ b/internal/lab/overload_test.go
@@ -180,8 +180,8 @@
 	}
 	variants := []string{"off", "on", "knows"}
 	fmt.Printf("\n%.0f requests a second, %.0f s each; point of collapse %d runs, %d cores told\n", 1.5*scenarios[0].capacity(), evening.Seconds(), knee, cores)
-	fmt.Println("| scenario | pools | worth | lestvica | krog | oddaja | refused | refusal p50 | p99 | cheap n | p50 | p99 | p99.9 | max | cheap lost | died | memory | CPU | rules broken |")
-	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Println("| scenario | pools | worth | lestvica | krog | oddaja | refused | refusal p50 | p99 | told over 100 ms late | cheap n | p50 | p99 | p99.9 | max | cheap lost | died | memory | CPU | rules broken |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for n, sc := range scenarios {
 		results := make([]played, len(variants))
 		var wg sync.WaitGroup
@@ -199,9 +199,9 @@
 			if died == "" {
 				died = "no"
 			}
-			fmt.Printf("| %s | %s | %.3f | %.2f | %.2f | %.2f | %.2f | %v | %v | %d | %v | %v | %v | %v | %d | %s | %.2f | %.2f s | %d |\n",
+			fmt.Printf("| %s | %s | %.3f | %.2f | %.2f | %.2f | %.2f | %v | %v | %.3f | %d | %v | %v | %v | %v | %d | %s | %.2f | %.2f s | %d |\n",
 				sc.name, r.variant, q.Worth/q.Asked, share("lestvica"), share("krog"), share("oddaja"),
-				float64(q.Refused)/float64(q.Sent), At(q.Refusals, 50), At(q.Refusals, 99), q.Cheap.TotalCount(),
+				float64(q.Refused)/float64(q.Sent), At(q.Refusals, 50), At(q.Refusals, 99), float64(q.ToldLate)/float64(max(1, q.Refused)), q.Cheap.TotalCount(),
 				At(q.Cheap, 50), At(q.Cheap, 99), At(q.Cheap, 99.9), At(q.Cheap, 100), q.CheapLost+q.CheapWrong,
 				died, r.most, r.cpu.Seconds(), len(q.Broken))
 			if len(q.Broken) > 0 {
--- a/internal/pools/climb.go
+++ b/internal/pools/climb.go
@@ -59,7 +59,7 @@
 	cutAgain   = 0.75 // of that, while fewer runs still get much more done
 	againUnder = -0.5 // slope at which they do
 	restAt     = 0.96 // of the limit is used between probes: the point of collapse is worse from above
-	wantSlope  = 0.5  // gain in work for a gain in runs, in per cent for one, at which the limit stands still
+	wantSlope  = 0.2  // gain in work for a gain in runs, in per cent for one, at which the limit stands still
 	firstStep  = 0.18 // step of the limit's logarithm in a new search; it doubles with every one that goes on
 	faster     = 2.5
 	mostStep   = 0.32
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -148,7 +148,7 @@
 	rateSpan    = 2 * time.Second // over which arrivals are counted
 	timePast    = 0.95            // weight of the past in the time of a run, for each end
 	othersShare = 0.1             // weight of a reading in what else is on the cores
-	leastPart   = 0.3             // of the limit that runs always have, however much is read
+	leastPart   = 0.15            // of the limit that runs always have, however much is read
 	starving    = time.Second     // a pool that waits under its floor for so long goes before all
 	firstTime   = 0.3             // seconds, until a run has ended
 )
--- a/internal/scgi/scgi_test.go
+++ b/internal/scgi/scgi_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"log"
 	"math/rand/v2"
@@ -16,6 +17,7 @@
 	"silverpath"
 	"silverpath/internal/core"
 	"silverpath/internal/front"
+	"silverpath/internal/pools"
 	"silverpath/internal/settings"
 	"silverpath/internal/stats"
 )
@@ -327,3 +329,43 @@
 		seen[id] = true
 	}
 }
+
+// A flood of a class is turned away by its headers: the body that was announced is neither waited for nor read, and the
+// state of the service is told where it is to be.
+func TestRefusedByItsHeaders(t *testing.T) {
+	c, err := core.New(core.Config{Settings: site, MemoryMB: 32, Log: log.New(io.Discard, "", 0), Status: true,
+		Pools: &pools.Config{Pools: []pools.Pool{{Name: "all", Weight: 1}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Attach(runner{c, make(chan string, 1000)}, nil); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	f := New(c, settings.SCGI{MaxBody: 64, HeldKB: 20}, 1, log.New(io.Discard, "", 0), &stats.Counters{})
+	ln, err := front.Listen(Name, "127.0.0.1:0", 100, c.IdleAfter, f.Serve, log.New(io.Discard, "", 0), &stats.Counters{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go ln.Serve()
+	defer ln.Close()
+	if a, err := ask(t, ln.Addr().String(), AppendRequest(nil, nil, "PATH_INFO", "/status")); err != nil || a.Status != 200 ||
+		!strings.Contains(string(a.Body), `"phase"`) || a.Headers["content-type"] != "application/json" {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	head := bytes.TrimSuffix(AppendRequest(nil, bytes.Repeat([]byte("x"), 60), "PATH_INFO", "/lestvica"), bytes.Repeat([]byte("x"), 60))
+	for deadline := time.Now().Add(20 * time.Second); ; {
+		now := time.Now() // a flood: far more than two cores can do by their due time
+		for i := range 2000 {
+			go c.Serve(core.Request{Front: "test", ID: fmt.Sprint(now.UnixNano(), i), Class: "lestvica", HeldKB: 1, Reached: now,
+				Due: now.Add(200 * time.Millisecond)}, func(core.Answer) {})
+		}
+		a, err := ask(t, ln.Addr().String(), head)
+		if err == nil && a.Status == 503 && a.RetryAfter > 0 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%+v, %v", a, err)
+		}
+	}
+}
--- a/internal/snmp/snmp_test.go
+++ b/internal/snmp/snmp_test.go
@@ -11,6 +11,7 @@
 
 	"silverpath"
 	"silverpath/internal/core"
+	"silverpath/internal/pools"
 	"silverpath/internal/stats"
 )
 
@@ -221,3 +222,45 @@
 		t.Fatalf("%+v", list)
 	}
 }
+
+// A service with pools has them in its MIB, in order, and one without has none.
+func TestPools(t *testing.T) {
+	set := pools.Config{Pools: []pools.Pool{{Name: "sheets", Classes: []string{"oddaja"}, Weight: 1, Floor: 0.5}}}
+	c, err := core.New(core.Config{MemoryMB: 64, Pools: &set, Log: log.New(io.Discard, "", 0), Settings: silverpath.Settings{
+		Cores: 4, MemoryKB: 1000, CrowdLimit: 8, Classes: []silverpath.Class{{Name: "oddaja", Deadline: time.Second, Worth: 1}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Attach(still{c}, nil); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	for deadline := time.Now().Add(10 * time.Second); c.View().Pools == nil; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no state of the pools")
+		}
+	}
+	a := &Agent{community: "quiz", name: "n3", core: c, stats: &stats.Counters{}}
+	reply, _ := a.answer(ask(tagGetBulk, 1, 0, 50, root.with(3)))
+	_, _, list := read(t, reply, 1)
+	if len(list) != 21 || list[0].name.compare(objectLimit) != 0 || list[20].value.tag != tagEndOfMibView {
+		t.Fatalf("%d values: %v", len(list), list)
+	}
+	if v := list[4]; v.name.compare(poolEntry.with(2, 1)) != 0 || string(v.value.body) != "sheets" {
+		t.Errorf("%v is %q", v.name, v.value.body)
+	}
+	if v := list[5]; string(v.value.body) != "rest" {
+		t.Errorf("%v is %q", v.name, v.value.body)
+	}
+	reply, _ = agent(t).answer(ask(tagGetNext, 2, 0, 0, root.with(3)))
+	if _, _, list := read(t, reply, 2); list[0].value.tag != tagEndOfMibView {
+		t.Errorf("without pools %v", list[0])
+	}
+}
+
+// still is a runner that only answers probes.
+type still struct{ c *core.Core }
+
+func (still) Run(string, string, []byte) {}
+func (still) Resume(string, []byte)      {}
+func (s still) Probe()                   { s.c.Gauges(silverpath.Gauges{}) }
