Timings of writes, the accept loop, the run queue and the collector; new shares by SIGHUP tested

Need: where a cheap call waits was to be measured before it is bounded. Change: every front times its writes and how long a new connection waits for a place; status adds the runtime's own histograms.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -157,7 +157,7 @@
 	if c.log == nil {
 		c.log = log.Default()
 	}
-	c.locked, c.decided = stats.NewTiming("lock_wait"), stats.NewTiming("decide")
+	c.locked, c.decided = c.stats.Timing("lock_wait"), c.stats.Timing("decide")
 	if cfg.Pools != nil {
 		var err error
 		if c.guard, err = newGuard(*cfg.Pools, cfg.MemoryMB); err != nil {
@@ -337,9 +337,6 @@
 	c.watch()
 }
 
-// Timings are how long the core's lock was waited for and how long the module took under it.
-func (c *Core) Timings() []*stats.Timing { return []*stats.Timing{c.locked, c.decided} }
-
 // ---- The module's host: every method notes an action for perform ----
 
 type host Core
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"math"
+	"runtime/metrics"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -48,17 +50,55 @@
 		o.Set("pools", list)
 	}
 	times := a.NewObject()
-	for _, t := range c.Timings() {
+	for _, t := range c.stats.Timings() {
 		p50, n := t.At(50)
 		p99, _ := t.At(99)
 		longest, _ := t.At(100)
 		times.Set(t.Name, numbers(&a, "n", float64(n), "p50_us", float64(p50.Microseconds()),
 			"p99_us", float64(p99.Microseconds()), "max_us", float64(longest.Microseconds())))
 	}
+	for _, h := range []struct{ name, metric string }{
+		{"run_queue", "/sched/latencies:seconds"}, {"collector", "/sched/pauses/total/gc:seconds"},
+	} {
+		n, p50, p99, most := quantiles(h.metric)
+		times.Set(h.name, numbers(&a, "n", float64(n), "p50_us", p50*1e6, "p99_us", p99*1e6, "max_us", most*1e6))
+	}
 	o.Set("timings", times)
 	return o.MarshalTo(nil)
 }
 
+// quantiles reads a histogram of the runtime's own: how long goroutines waited to run, or the collector stopped all.
+func quantiles(metric string) (n uint64, p50, p99, most float64) {
+	sample := []metrics.Sample{{Name: metric}}
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindFloat64Histogram {
+		return 0, 0, 0, 0
+	}
+	h := sample[0].Value.Float64Histogram()
+	for _, c := range h.Counts {
+		n += c
+	}
+	seen := uint64(0)
+	for i, c := range h.Counts {
+		if c == 0 {
+			continue
+		}
+		seen += c
+		v := h.Buckets[i+1]
+		if math.IsInf(v, 1) {
+			v = h.Buckets[i]
+		}
+		if p50 == 0 && seen*2 >= n {
+			p50 = v
+		}
+		if p99 == 0 && seen*100 >= n*99 {
+			p99 = v
+		}
+		most = v
+	}
+	return n, p50, p99, most
+}
+
 // numbers returns an object of names and numbers in turn.
 func numbers(a *fastjson.Arena, pairs ...any) *fastjson.Value {
 	o := a.NewObject()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -193,6 +193,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	go l.sweep(done)
+	waits := l.stats.Timing("room", l.name)
 	for {
 		conn, err := l.ln.Accept()
 		if err != nil {
@@ -205,7 +206,9 @@
 			continue
 		}
 		l.stats.Inc("connections", l.name)
+		accepted := time.Now()
 		l.room() // only now, so that no idle connection is closed for one that may never come
+		waits.Record(time.Since(accepted))
 		s := &Slot{owner: l, conn: conn, since: time.Now(), cut: make(chan struct{})}
 		l.mu.Lock()
 		l.seq++
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -39,13 +39,16 @@
 
 // Front serves balancers.
 type Front struct {
-	core  *core.Core
-	log   *log.Logger
-	stats *stats.Counters
+	core   *core.Core
+	log    *log.Logger
+	stats  *stats.Counters
+	writes *stats.Timing
 }
 
 // New returns the front of a core.
-func New(c *core.Core, l *log.Logger, s *stats.Counters) *Front { return &Front{c, l, s} }
+func New(c *core.Core, l *log.Logger, s *stats.Counters) *Front {
+	return &Front{c, l, s, s.Timing("write", Name)}
+}
 
 // client is one connection of a balancer.
 type client struct {
@@ -301,7 +304,10 @@
 	}
 	*b = message(*b)
 	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.conn.Write(*b); err != nil {
+	began := time.Now()
+	_, err := c.conn.Write(*b)
+	c.writes.Record(time.Since(began))
+	if err != nil {
 		c.stats.Inc("write_failed", Name)
 		c.mu.Lock()
 		c.broken = true
--- a/internal/scgi/front.go
+++ b/internal/scgi/front.go
@@ -47,17 +47,18 @@
 
 // Front serves web fronts.
 type Front struct {
-	core  *core.Core
-	cfg   settings.SCGI
-	log   *log.Logger
-	stats *stats.Counters
-	salt  uint64
-	seq   atomic.Uint64
+	core   *core.Core
+	cfg    settings.SCGI
+	log    *log.Logger
+	stats  *stats.Counters
+	writes *stats.Timing
+	salt   uint64
+	seq    atomic.Uint64
 }
 
 // New returns the front of a core. The seed makes its request ids.
 func New(c *core.Core, cfg settings.SCGI, seed int64, l *log.Logger, s *stats.Counters) *Front {
-	return &Front{core: c, cfg: cfg, log: l, stats: s, salt: rand.New(rand.NewPCG(uint64(seed), 1)).Uint64()}
+	return &Front{core: c, cfg: cfg, log: l, stats: s, writes: s.Timing("write", Name), salt: rand.New(rand.NewPCG(uint64(seed), 1)).Uint64()}
 }
 
 // newID returns an id of 16 hexadecimal digits that no other request of this process has.
@@ -190,7 +191,10 @@
 	defer buf.Put(b)
 	*b = appendResponse(*b, status, body, kind, headers...)
 	conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := conn.Write(*b); err != nil {
+	began := time.Now()
+	_, err := conn.Write(*b)
+	f.writes.Record(time.Since(began))
+	if err != nil {
 		f.stats.Inc("write_failed", Name)
 	}
 }
--- a/internal/scgi/scgi_test.go
+++ b/internal/scgi/scgi_test.go
@@ -319,7 +319,7 @@
 func (r runner) Probe()                     {}
 
 func TestIDsDiffer(t *testing.T) {
-	f := New(nil, settings.SCGI{}, 7, nil, nil)
+	f := New(nil, settings.SCGI{}, 7, nil, &stats.Counters{})
 	seen := map[string]bool{}
 	for range 10000 {
 		id := f.newID()
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -336,7 +336,7 @@
 		for sig := range signals {
 			switch {
 			case sig == syscall.SIGUSR1:
-				s.print(out)
+				s.stats.Print(out)
 			case sig == syscall.SIGHUP:
 				cfg, err := load()
 				if err != nil {
@@ -353,19 +353,11 @@
 		}
 	}()
 	err = s.Run(leave)
-	s.print(out)
+	s.stats.Print(out)
 	l.Printf("exit")
 	return err
 }
 
-// print writes the counters and timings.
-func (s *Service) print(out io.Writer) {
-	s.stats.Print(out)
-	for _, t := range s.core.Timings() {
-		t.Print(out)
-	}
-}
-
 // Describe says, for a person, what a configuration sets up.
 func Describe(c settings.Config) string {
 	b := budget(c)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -23,6 +23,7 @@
 
 	"silverpath"
 	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/pools"
 	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
 )
@@ -360,3 +361,73 @@
 		}
 	}
 }
+
+// SIGHUP takes new shares up while runs go on, keeps the old ones where the new are no good, and says which; the rest of an
+// edge file waits for the next start.
+func TestReloadOfPools(t *testing.T) {
+	vm, _, release := interpreter(t)
+	defer release()
+	cfg := config(vm)
+	cfg.Edge = settings.Edge{On: true, Status: true, Reserve: &pools.ReserveConfig{}, Pools: pools.Config{
+		Pools: []pools.Pool{{Name: "rounds", Classes: []string{"krog"}, Weight: 1, Floor: 0.5}}}}
+	var out lines
+	s, err := New(cfg, log.New(&out, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	leave, done := make(chan struct{}), make(chan error, 1)
+	s.lead = 0
+	go func() { done <- s.Run(leave) }()
+	now := strconv.FormatInt(time.Now().UnixMilli(), 10)
+	a := dial(t, s.Addrs()[0], msgpackrpc.AppendRequest(nil, 1, "krog", []byte("hold"), "i", "a1", "s", now, "d", "30000", "m", "1"))
+	for s.stats.Get("read", "msgpack", "krog") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	next := cfg
+	next.Edge.Pools.Pools = []pools.Pool{{Name: "rounds", Classes: []string{"krog"}, Weight: 5, Floor: 0.9}, {Name: "others"}}
+	s.Reload(next)
+	bad := next
+	bad.Edge.Status = false
+	bad.Edge.Pools.Pools = []pools.Pool{{Name: "rounds", Floor: 7}}
+	s.Reload(bad)
+	text := out.String()
+	for _, want := range []string{"reload: pools: taken up", "reload: the old pools hold: pools[0].floor", "reload: edge: differs"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not in the log: %s", want, text)
+		}
+	}
+	release()
+	if r, err := msgpackrpc.ReadReply(a.r); err != nil || string(r.Body) != "HOLD" {
+		t.Errorf("the run that went on: %+v, %v", r, err)
+	}
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		if v := s.core.View().Pools; v != nil && len(v.Pools) == 2 && v.Pools[0].Weight == 5 {
+			break
+		} else if time.Now().After(deadline) {
+			t.Fatalf("the pools are %+v", v)
+		}
+	}
+	a.Close()
+	close(leave)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// lines is a log that may be read while it is written.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -13,8 +13,9 @@
 
 // Counters is a set of named counters. The zero value is ready; it is safe for concurrent use.
 type Counters struct {
-	mu sync.Mutex
-	n  map[string]uint64
+	mu      sync.Mutex
+	n       map[string]uint64
+	timings map[string]*Timing
 }
 
 // name joins the parts of a counter's name. A part may come off the wire, so blanks in it are replaced.
@@ -50,10 +51,38 @@
 	return maps.Clone(c.n)
 }
 
-// Print writes every counter, a line each, in the order of their names.
+// Timing returns the histogram of a name, a new one at first.
+func (c *Counters) Timing(parts ...string) *Timing {
+	key := name(parts)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.timings == nil {
+		c.timings = map[string]*Timing{}
+	}
+	if c.timings[key] == nil {
+		c.timings[key] = newTiming(key)
+	}
+	return c.timings[key]
+}
+
+// Timings returns all histograms in the order of their names.
+func (c *Counters) Timings() []*Timing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []*Timing
+	for _, key := range slices.Sorted(maps.Keys(c.timings)) {
+		list = append(list, c.timings[key])
+	}
+	return list
+}
+
+// Print writes every counter and every timing, a line each, in the order of their names.
 func (c *Counters) Print(w io.Writer) {
 	all := c.Snapshot()
 	for _, key := range slices.Sorted(maps.Keys(all)) {
 		fmt.Fprintf(w, "counter %s %d\n", key, all[key])
 	}
+	for _, t := range c.Timings() {
+		t.Print(w)
+	}
 }
--- a/internal/stats/timing.go
+++ b/internal/stats/timing.go
@@ -16,8 +16,7 @@
 	h    *hdrhistogram.Histogram
 }
 
-// NewTiming returns an empty histogram.
-func NewTiming(name string) *Timing {
+func newTiming(name string) *Timing {
 	return &Timing{Name: name, h: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2)}
 }
 
--- a/pools_test.go
+++ b/pools_test.go
@@ -150,3 +150,25 @@
 		t.Errorf("the pressure that callers are told of is %v", s.pressure)
 	}
 }
+
+// How long the module takes for one decision with so many in the hold: what everybody waits for who needs the core's
+// lock.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 4000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			set, h := settings(), &script{}
+			set.MemoryKB, set.Classes[0].Aim, set.Classes[0].Deadline, set.CrowdLimit = 1e9, time.Hour, time.Hour, 10000
+			s, err := New(0, set, h)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for i := range n {
+				s.Arrive(1, Request{ID: fmt.Sprint(i), Class: "read", HeldKB: 1, Work: time.Millisecond})
+			}
+			for b.Loop() {
+				s.plan()
+			}
+			b.ReportMetric(float64(s.inState[held]), "held")
+		})
+	}
+}
