--- a/internal/scgi/scgi_test.go
+++ b/internal/scgi/scgi_test.go
@@ -9,8 +9,10 @@
 	"log"
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -369,3 +371,40 @@
 		}
 	}
 }
+
+// Bodies of 60 MB are refused by the length that they state, while they still come, and take no memory here.
+func TestHugeBodiesTakeNoMemory(t *testing.T) {
+	addr, _, _ := edge(t, application(t, func(message, net.Conn) {}), 30*time.Second)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			conn, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(30 * time.Second))
+			block := "CONTENT_LENGTH\x0062914560\x00SCGI\x001\x00PATH_INFO\x00/lestvica\x00"
+			fmt.Fprintf(conn, "%d:%s,", len(block), block)
+			go func() {
+				piece := make([]byte, 64<<10)
+				for range 960 {
+					if _, err := conn.Write(piece); err != nil {
+						return
+					}
+				}
+			}()
+			if a, err := ReadReply(bufio.NewReader(conn)); err != nil || a.Status != 413 {
+				t.Errorf("%+v, %v", a, err)
+			}
+		})
+	}
+	wg.Wait()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.TotalAlloc - before.TotalAlloc); grown > 8<<20 {
+		t.Errorf("%d KB were allocated for eight bodies of 60 MB", grown>>10)
+	}
+}
