--- a/cmd/silverpath/main.go
+++ b/cmd/silverpath/main.go
@@ -27,8 +27,9 @@
 
 func root() *cobra.Command {
 	var config, edge, listen, web string
+	router := false
 	load := func() (settings.Config, error) {
-		cfg, err := read(config)
+		cfg, err := read(config, router)
 		if err == nil && listen != "" {
 			cfg.Listen = listen
 		}
@@ -74,7 +75,24 @@
 				return nil
 			},
 		}),
-		askCommand(), statusCommand(),
+		withConfig(&cobra.Command{
+			Use:   "route",
+			Short: "Run a router in front of a fleet, whose map the edge file names, until SIGTERM; SIGHUP reads the map again",
+			RunE: func(*cobra.Command, []string) error {
+				router = true
+				cfg, err := load()
+				if err == nil && cfg.Edge.Fleet == nil {
+					err = errors.New("route: no fleet: give --edge FILE with one")
+				}
+				if err != nil {
+					return err
+				}
+				signals := make(chan os.Signal, 8)
+				signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+				return service.Main(load, signals, os.Stderr)
+			},
+		}),
+		askCommand(), statusCommand(), cellsCommand(),
 		&cobra.Command{
 			Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "silverpath", version()) },
@@ -85,18 +103,21 @@
 
 // read reads the configuration: the file given, the one that LB_CONFIG names, or else the built-in one of a first
 // start, whose work a built-in worker does.
-func read(file string) (settings.Config, error) {
+func read(file string, router bool) (settings.Config, error) {
 	if file == "" {
 		file = os.Getenv("LB_CONFIG")
 	}
-	if file != "" {
+	switch {
+	case file != "" && router:
+		return settings.LoadRouter(file)
+	case file != "":
 		return settings.Load(file)
 	}
 	cfg, err := settings.ParseConfig(deploy.Try, os.Getenv("LB_NAME"), "")
 	if err != nil {
 		return cfg, err
 	}
-	cfg.Worker = true
+	cfg.Worker = !router
 	cfg.Edge, err = settings.ParseEdge(deploy.Edge, cfg.Server)
 	return cfg, err
 }
--- a/internal/ask/ask.go
+++ b/internal/ask/ask.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
@@ -51,111 +52,54 @@
 }
 
 // Conn is a connection to the platform's front that carries many requests at a time.
-type Conn struct {
-	conn net.Conn
-
-	mu     sync.Mutex
-	next   uint64
-	open   map[uint64]chan Reply
-	called bool // told to bring no more
-	broken bool
-}
+type Conn struct{ *msgpackrpc.Conn }
 
 // Dial opens a connection to the platform's front.
 func Dial(addr string) (*Conn, error) {
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
-	if err != nil {
-		return nil, fmt.Errorf("connecting: %w", err)
-	}
-	c := &Conn{conn: conn, open: map[uint64]chan Reply{}}
-	go c.read()
-	return c, nil
-}
-
-// Close ends the connection; what is open on it gets no reply.
-func (c *Conn) Close() { c.conn.Close() }
-
-// Usable reports whether the connection takes further requests.
-func (c *Conn) Usable() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.broken && !c.called
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	c, err := msgpackrpc.Dial(ctx, addr)
+	return &Conn{c}, err
 }
 
-func (c *Conn) read() {
-	r := bufio.NewReader(c.conn)
-	for {
-		a, err := msgpackrpc.ReadReply(r)
-		c.mu.Lock()
-		if err != nil {
-			c.broken = true
-			for id, reply := range c.open {
-				delete(c.open, id)
-				close(reply)
-			}
-			c.mu.Unlock()
-			c.conn.Close()
+// send writes one message made for the next id. The channel gets the reply, or is closed without one.
+func (c *Conn) send(message func(id uint64) []byte) <-chan Reply {
+	out := make(chan Reply, 1)
+	_, in, err := c.Send(message)
+	if err != nil {
+		close(out)
+		return out
+	}
+	go func() {
+		defer close(out)
+		a, ok := <-in
+		if !ok {
 			return
 		}
-		if a.Notification != "" {
-			c.called = true
-			c.mu.Unlock()
-			continue
-		}
-		reply := c.open[a.ID]
-		delete(c.open, a.ID)
-		c.mu.Unlock()
-		if reply == nil {
-			continue
-		}
-		out := Reply{Body: a.Body, Outcome: "served"}
 		switch a.Error {
 		case "":
+			out <- Reply{Outcome: "served", Body: a.Body}
 		case "Full":
 			ms, _ := strconv.Atoi(a.Fields["w"])
-			out = Reply{Outcome: "refused", After: time.Duration(ms) * time.Millisecond}
+			out <- Reply{Outcome: "refused", After: time.Duration(ms) * time.Millisecond}
 		default:
-			out = Reply{Outcome: "failed"}
+			out <- Reply{Outcome: "failed"}
 		}
-		reply <- out
-	}
-}
-
-// send writes one message made for the next id. The channel gets the reply, or is closed without one.
-func (c *Conn) send(message func(id uint64) []byte) <-chan Reply {
-	reply := make(chan Reply, 1)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.broken {
-		close(reply)
-		return reply
-	}
-	c.next++
-	c.open[c.next] = reply
-	c.conn.SetWriteDeadline(time.Now().Add(dialTimeout))
-	if _, err := c.conn.Write(message(c.next)); err != nil {
-		c.conn.Close() // the reader closes what is open
-	}
-	return reply
+	}()
+	return out
 }
 
 // Ask sends a request.
 func (c *Conn) Ask(q Request) <-chan Reply {
-	if q.ID == "" {
-		q.ID = newID()
-	}
-	if q.HeldKB == 0 {
-		q.HeldKB = 1
+	t := msgpackrpc.Try{ID: q.ID, Class: q.Class, Tenant: q.Tenant, Key: q.Key, Reached: time.Now(), Wait: q.Wait,
+		HeldKB: q.HeldKB, Body: q.Body}
+	if t.ID == "" {
+		t.ID = newID()
 	}
-	fields := []string{"i", q.ID, "s", strconv.FormatInt(time.Now().UnixMilli(), 10), "f", "0",
-		"d", strconv.FormatInt(q.Wait.Milliseconds(), 10), "m", strconv.FormatFloat(q.HeldKB, 'f', 2, 64)}
-	if q.Tenant != "" {
-		fields = append(fields, "t", q.Tenant)
-	}
-	if q.Key != "" {
-		fields = append(fields, "k", q.Key)
+	if t.HeldKB == 0 {
+		t.HeldKB = 1
 	}
-	return c.send(func(id uint64) []byte { return msgpackrpc.AppendRequest(nil, id, q.Class, q.Body, fields...) })
+	return c.send(func(id uint64) []byte { return t.Append(nil, id) })
 }
 
 // Probe sends a health check; a good one is served.
--- /dev/null
+++ b/internal/cells/cells.go
@@ -0,0 +1,487 @@
+// Package cells decides which server of a fleet a request belongs to: a versioned map of servers in cells and of tenants
+// in cells, the home of every key, and moves of tenants and servers that lose no repeat. It has no I/O, no clock and no
+// goroutine. Everything follows from the map and the time, so that routers that have read the same map agree without
+// talking, and one that restarts knows all that it knew. docs/design/cells.md weighs the ways.
+package cells
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Map is who serves whom. It is never changed once it is checked; a change is a new map of a higher version.
+type Map struct {
+	Version int
+	Window  time.Duration // a sheet may come again for so long after its run began
+	Skew    time.Duration // by which the clocks of two routers may differ
+	Lease   time.Duration // a router that has not read a good map for so long sends no more sheets
+	Patient time.Duration // the longest that a caller waits
+	Cells   []Cell
+	Servers []Server
+	Tenants []Tenant
+}
+
+// Cell is a part of the fleet.
+type Cell struct {
+	Name     string
+	Capacity float64 // requests a second that one of its servers of weight 1 can do
+}
+
+// Server is a member of a cell from a time to a time.
+type Server struct {
+	Name, Addr, Cell string
+	Weight           float64
+	From, Until      int64 // Unix milliseconds; Until 0: for good
+}
+
+// Tenant is a customer and the cells that it has lived in, the latest last.
+type Tenant struct {
+	Name  string  // "" is all tenants that are not named
+	Rate  float64 // requests a second, as agreed
+	Homes []Home
+}
+
+// Home is a tenant's place from a time on.
+type Home struct {
+	Cell  string
+	Shard int   // so many servers of the cell, drawn for the tenant; 0: all
+	From  int64 // Unix milliseconds
+	Abort bool  // it takes a move back
+}
+
+// Check names the first field that no map can have.
+func (m *Map) Check() error {
+	if m.Version < 1 {
+		return fmt.Errorf("version: under 1: %d", m.Version)
+	}
+	for _, f := range []struct {
+		name string
+		d    time.Duration
+		zero bool
+	}{{"window_ms", m.Window, false}, {"skew_ms", m.Skew, true}, {"lease_ms", m.Lease, false}, {"patience_ms", m.Patient, false}} {
+		if f.d < 0 || f.d == 0 && !f.zero {
+			return fmt.Errorf("%s: not above 0: %d", f.name, f.d.Milliseconds())
+		}
+	}
+	cells := map[string]bool{}
+	for i, c := range m.Cells {
+		switch {
+		case c.Name == "":
+			return fmt.Errorf("cells[%d].name: missing", i)
+		case cells[c.Name]:
+			return fmt.Errorf("cells[%d].name: %q given twice", i, c.Name)
+		case !(c.Capacity >= 0) || math.IsInf(c.Capacity, 1):
+			return fmt.Errorf("cells[%d].capacity: not a number of 0 or more: %v", i, c.Capacity)
+		}
+		cells[c.Name] = true
+	}
+	if len(cells) == 0 {
+		return fmt.Errorf("cells: none")
+	}
+	if err := m.checkServers(cells); err != nil {
+		return err
+	}
+	return m.checkTenants(cells)
+}
+
+func (m *Map) checkServers(cells map[string]bool) error {
+	names, addrs, full := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	for i, s := range m.Servers {
+		switch {
+		case s.Name == "":
+			return fmt.Errorf("servers[%d].name: missing", i)
+		case names[s.Name]:
+			return fmt.Errorf("servers[%d].name: %q given twice", i, s.Name)
+		case s.Addr == "":
+			return fmt.Errorf("servers[%d].addr: missing", i)
+		case addrs[s.Addr]:
+			return fmt.Errorf("servers[%d].addr: %q given twice", i, s.Addr)
+		case !cells[s.Cell]:
+			return fmt.Errorf("servers[%d].cell: no such cell: %q", i, s.Cell)
+		case !(s.Weight > 0) || math.IsInf(s.Weight, 1):
+			return fmt.Errorf("servers[%d].weight: not above 0: %v", i, s.Weight)
+		case s.From < 0 || s.Until < 0 || s.Until > 0 && s.Until <= s.From:
+			return fmt.Errorf("servers[%d].until_ms: not after from_ms: %d", i, s.Until)
+		}
+		names[s.Name], addrs[s.Addr] = true, true
+		full[s.Cell] = full[s.Cell] || s.Until == 0
+	}
+	for i, c := range m.Cells {
+		if !full[c.Name] {
+			return fmt.Errorf("cells[%d]: %q has no server that stays", i, c.Name)
+		}
+	}
+	return nil
+}
+
+func (m *Map) checkTenants(cells map[string]bool) error {
+	names := map[string]bool{}
+	for i, t := range m.Tenants {
+		if names[t.Name] {
+			return fmt.Errorf("tenants[%d].name: %q given twice", i, t.Name)
+		}
+		names[t.Name] = true
+		if !(t.Rate >= 0) || math.IsInf(t.Rate, 1) {
+			return fmt.Errorf("tenants[%d].rate: not a number of 0 or more: %v", i, t.Rate)
+		}
+		if len(t.Homes) == 0 {
+			return fmt.Errorf("tenants[%d].homes: %q has no cell", i, t.Name)
+		}
+		for j, h := range t.Homes {
+			at := fmt.Sprintf("tenants[%d].homes[%d]", i, j)
+			switch {
+			case !cells[h.Cell]:
+				return fmt.Errorf("%s.cell: no such cell: %q", at, h.Cell)
+			case h.Shard < 0:
+				return fmt.Errorf("%s.shard: negative: %d", at, h.Shard)
+			case j > 0 && h.From <= t.Homes[j-1].From:
+				return fmt.Errorf("%s.from_ms: not after that of the home before: %d", at, h.From)
+			case h.Abort && (j < 2 || h.Cell != t.Homes[j-2].Cell):
+				return fmt.Errorf("%s.abort: it takes no move back", at)
+			}
+		}
+	}
+	return nil
+}
+
+// Follows reports, naming the field, why another map can't take this one's place now. What has been in force can't be
+// changed, since keys have run where it sent them; what is to come must be announced a lease ahead, so that whoever
+// has not heard of it sends no more sheets by the time it holds.
+func (m *Map) Follows(old *Map, now time.Time) error {
+	if m.Version == old.Version && len(Diff(old, m)) == 0 {
+		return nil
+	}
+	if m.Version <= old.Version {
+		return fmt.Errorf("version: %d is not above that in force, %d", m.Version, old.Version)
+	}
+	if m.Window < old.Window {
+		return fmt.Errorf("window_ms: shorter than before")
+	}
+	if m.Skew != old.Skew || m.Lease != old.Lease {
+		return fmt.Errorf("lease_ms: neither it nor skew_ms may change under way")
+	}
+	least := now.Add(m.Lease + m.Skew).UnixMilli()
+	kept := now.Add(-m.dual()).UnixMilli() // what ended before may be left out
+	for i, t := range m.Tenants {
+		was := old.tenant(t.Name, true)
+		for j, h := range t.Homes {
+			known := was != nil && slices.Contains(was.Homes, h)
+			if !known && h.From < least && !(j == 0 && was == nil && h.From == 0) {
+				return fmt.Errorf("tenants[%d].homes[%d].from_ms: not a lease ahead: %d is before %d", i, j, h.From, least)
+			}
+		}
+		if was == nil {
+			if old.tenant(t.Name, false) != nil && t.Homes[0] != old.tenant(t.Name, false).Homes[0] {
+				return fmt.Errorf("tenants[%d].homes[0]: a tenant that is named anew begins where the unnamed live", i)
+			}
+			continue
+		}
+		for j, h := range was.Homes {
+			ended := j+1 < len(was.Homes) && was.Homes[j+1].From < kept
+			if !slices.Contains(t.Homes, h) && !ended && h.From < least {
+				return fmt.Errorf("tenants[%d].homes: %q was in %q, which can't be undone: append a home", i, t.Name, h.Cell)
+			}
+		}
+	}
+	for _, t := range old.Tenants {
+		if m.tenant(t.Name, true) == nil {
+			return fmt.Errorf("tenants: %q is gone", t.Name)
+		}
+	}
+	return m.followServers(old, least, kept)
+}
+
+func (m *Map) followServers(old *Map, least, kept int64) error {
+	for i, s := range m.Servers {
+		was := old.Server(s.Name)
+		switch {
+		case was == nil:
+			if s.From < least {
+				return fmt.Errorf("servers[%d].from_ms: not a lease ahead: %d is before %d", i, s.From, least)
+			}
+		case s.Cell != was.Cell || s.Weight != was.Weight || s.From != was.From && was.From < least:
+			return fmt.Errorf("servers[%d]: %q changes its cell, weight or from_ms: give it another name", i, s.Name)
+		case s.Until != was.Until && (s.Until > 0 && s.Until < least || was.Until > 0 && was.Until < least):
+			return fmt.Errorf("servers[%d].until_ms: not a lease ahead: %d is before %d", i, s.Until, least)
+		}
+	}
+	for _, s := range old.Servers {
+		if m.Server(s.Name) == nil && (s.Until == 0 || s.Until >= kept) {
+			return fmt.Errorf("servers: %q is gone, and its keys may come again: set until_ms", s.Name)
+		}
+	}
+	return nil
+}
+
+// Server returns a server by its name, nil for none.
+func (m *Map) Server(name string) *Server {
+	for i := range m.Servers {
+		if m.Servers[i].Name == name {
+			return &m.Servers[i]
+		}
+	}
+	return nil
+}
+
+// tenant returns a tenant, or, where it is not named and the exact one is not asked for, that of all others.
+func (m *Map) tenant(name string, exact bool) *Tenant {
+	var others *Tenant
+	for i := range m.Tenants {
+		if m.Tenants[i].Name == name {
+			return &m.Tenants[i]
+		}
+		if m.Tenants[i].Name == "" {
+			others = &m.Tenants[i]
+		}
+	}
+	if exact {
+		return nil
+	}
+	return others
+}
+
+// dual is how long after a change a key may still come again from where it ran before: its window, from the last run that
+// a router whose clock is behind may have sent there, and as long as its caller waits for it.
+func (m *Map) dual() time.Duration { return m.Window + m.Patient + 2*m.Skew }
+
+// ---- Homes ----
+
+// score is a server's rendezvous score for a key: Thaler and Ravishankar, "A Name-Based Mapping Scheme for Rendezvous"
+// (1996), weighted as by Schindelhauer and Schomaker (2005).
+func score(key, server string, weight float64) float64 {
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(server)
+	d.WriteString("\x00")
+	d.WriteString(key)
+	u := (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(u)
+}
+
+// members are the servers of a cell at a time.
+func (m *Map) members(cell string, at int64) []*Server {
+	var list []*Server
+	for i := range m.Servers {
+		s := &m.Servers[i]
+		if s.Cell == cell && s.From <= at && (s.Until == 0 || at < s.Until) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// home is a tenant's home at a time.
+func (t *Tenant) home(at int64) Home {
+	h := t.Homes[0]
+	for _, next := range t.Homes[1:] {
+		if next.From <= at {
+			h = next
+		}
+	}
+	return h
+}
+
+// shard draws a tenant's servers from those of its cell: the first of them by the rendezvous score of its name, so that
+// one server more or less changes at most one of them.
+func shard(tenant string, n int, list []*Server) []*Server {
+	if n <= 0 || n >= len(list) {
+		return list
+	}
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b *Server) int {
+		return cmp.Or(cmp.Compare(score("shard\x00"+tenant, b.Name, b.Weight), score("shard\x00"+tenant, a.Name, a.Weight)),
+			strings.Compare(a.Name, b.Name))
+	})
+	return list[:n]
+}
+
+// at returns the servers of a tenant at a time.
+func (m *Map) at(t *Tenant, name string, when int64) []*Server {
+	h := t.home(when)
+	return shard(name, h.Shard, m.members(h.Cell, when))
+}
+
+// pick is the server of a list whose score for a key is the highest.
+func pick(list []*Server, tenant, key string) *Server {
+	var best *Server
+	most := 0.0
+	for _, s := range list {
+		if v := score(tenant+"\x00"+key, s.Name, s.Weight); best == nil || v > most || v == most && s.Name < best.Name {
+			best, most = s, v
+		}
+	}
+	return best
+}
+
+// Route is where a request may go.
+type Route struct {
+	Cell    string
+	Servers []string // those of its tenant, for what needs no home
+	Home    string   // of its key; empty without one
+	Ask     []string // former homes, which may know the key: to be asked, the latest first, before the home runs it
+	State   State    // of its tenant
+}
+
+// Route tells where a request of a tenant with a key goes at a time. ok is false where the map has no place for it.
+func (m *Map) Route(now time.Time, tenant, key string) (r Route, ok bool) {
+	t := m.tenant(tenant, false)
+	if t == nil {
+		return r, false
+	}
+	at := now.UnixMilli()
+	list := m.at(t, tenant, at)
+	if len(list) == 0 {
+		return r, false
+	}
+	r.Cell, r.State = t.home(at).Cell, m.state(t, at)
+	for _, s := range list {
+		r.Servers = append(r.Servers, s.Name)
+	}
+	if key == "" {
+		return r, true
+	}
+	r.Home = pick(list, tenant, key).Name
+	for _, when := range m.changes(t, at) {
+		before := m.at(t, tenant, when-1)
+		if len(before) == 0 {
+			continue
+		}
+		if former := pick(before, tenant, key).Name; former != r.Home && !slices.Contains(r.Ask, former) {
+			r.Ask = append(r.Ask, former)
+		}
+	}
+	return r, true
+}
+
+// changes are the times, the latest first, of the changes that a tenant's keys may come across: within the dual stretch
+// before a time, and, as another router's clock may be ahead, just after it.
+func (m *Map) changes(t *Tenant, at int64) []int64 {
+	least, most := at-m.dual().Milliseconds(), at
+	var list []int64
+	add := func(when int64) {
+		if when > least && when <= most && when > 0 && !slices.Contains(list, when) {
+			list = append(list, when)
+		}
+	}
+	for _, h := range t.Homes[1:] {
+		add(h.From)
+	}
+	for i := range m.Servers {
+		add(m.Servers[i].From)
+		add(m.Servers[i].Until)
+	}
+	slices.SortFunc(list, func(a, b int64) int { return cmp.Compare(b, a) })
+	return list
+}
+
+// ---- Moves ----
+
+// State is the state of a tenant's latest move. Each is entered and left by the time alone.
+type State int
+
+const (
+	Settled  State = iota // it lives in one cell, and no repeat can come from another
+	Prepared              // announced, not yet in force: left when its time comes, a lease and the skew after the announcement at least
+	Dual                  // in force: former homes are asked first; left after the window, a caller's patience and twice the skew
+	Draining              // nobody is asked any more; former homes may still have answers to give: left after a caller's patience
+	Aborted               // taken back: the stretch of Dual in the other direction
+)
+
+func (s State) String() string {
+	return [...]string{"settled", "prepared", "dual", "draining", "aborted"}[s]
+}
+
+// MoveState is the state of a tenant's latest move at a time.
+func (m *Map) MoveState(tenant string, now time.Time) (State, bool) {
+	t := m.tenant(tenant, false)
+	if t == nil {
+		return Settled, false
+	}
+	return m.state(t, now.UnixMilli()), true
+}
+
+func (m *Map) state(t *Tenant, at int64) State {
+	if len(t.Homes) < 2 {
+		return Settled
+	}
+	last := t.Homes[len(t.Homes)-1]
+	switch since := at - last.From; {
+	case since < 0 && last.Abort:
+		return Dual // the move still holds until its abort does
+	case since < 0:
+		return Prepared
+	case since < m.dual().Milliseconds() && last.Abort:
+		return Aborted
+	case since < m.dual().Milliseconds():
+		return Dual
+	case since < (m.dual() + m.Patient).Milliseconds():
+		return Draining
+	}
+	return Settled
+}
+
+// Diff names what differs between two maps, a line each.
+func Diff(old, m *Map) []string {
+	var list []string
+	add := func(format string, args ...any) { list = append(list, fmt.Sprintf(format, args...)) }
+	for _, c := range m.Cells {
+		if i := slices.IndexFunc(old.Cells, func(o Cell) bool { return o.Name == c.Name }); i < 0 {
+			add("cell %s: new", c.Name)
+		} else if old.Cells[i] != c {
+			add("cell %s: capacity %g, was %g", c.Name, c.Capacity, old.Cells[i].Capacity)
+		}
+	}
+	for _, c := range old.Cells {
+		if !slices.ContainsFunc(m.Cells, func(n Cell) bool { return n.Name == c.Name }) {
+			add("cell %s: gone", c.Name)
+		}
+	}
+	for _, s := range m.Servers {
+		switch was := old.Server(s.Name); {
+		case was == nil:
+			add("server %s: new in cell %s from %d", s.Name, s.Cell, s.From)
+		case *was != s:
+			add("server %s: %+v, was %+v", s.Name, s, *was)
+		}
+	}
+	for _, s := range old.Servers {
+		if m.Server(s.Name) == nil {
+			add("server %s: gone", s.Name)
+		}
+	}
+	for _, t := range m.Tenants {
+		was := old.tenant(t.Name, true)
+		if was == nil {
+			add("tenant %q: new in cell %s", t.Name, t.Homes[0].Cell)
+			continue
+		}
+		if was.Rate != t.Rate {
+			add("tenant %q: rate %g, was %g", t.Name, t.Rate, was.Rate)
+		}
+		for _, h := range t.Homes {
+			if !slices.Contains(was.Homes, h) {
+				add("tenant %q: to cell %s at %d", t.Name, h.Cell, h.From)
+			}
+		}
+		for _, h := range was.Homes {
+			if !slices.Contains(t.Homes, h) {
+				add("tenant %q: no longer in cell %s from %d", t.Name, h.Cell, h.From)
+			}
+		}
+	}
+	for _, t := range old.Tenants {
+		if m.tenant(t.Name, true) == nil {
+			add("tenant %q: gone", t.Name)
+		}
+	}
+	if old.Window != m.Window || old.Skew != m.Skew || old.Lease != m.Lease || old.Patient != m.Patient {
+		add("times: window %v, skew %v, lease %v, patience %v", m.Window, m.Skew, m.Lease, m.Patient)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/cells/plan.go
@@ -0,0 +1,181 @@
+package cells
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Load is what a cell has to carry.
+type Load struct {
+	Cell     string
+	Capacity float64 // requests a second
+	Rate     float64 // of its tenants, as agreed
+}
+
+// Share is how much of the capacity is taken.
+func (l Load) Share() float64 {
+	if l.Capacity <= 0 {
+		return 0
+	}
+	return l.Rate / l.Capacity
+}
+
+// Loads returns what every cell carries at a time.
+func (m *Map) Loads(now time.Time) []Load {
+	at := now.UnixMilli()
+	var list []Load
+	for _, c := range m.Cells {
+		l := Load{Cell: c.Name}
+		for _, s := range m.members(c.Name, at) {
+			l.Capacity += s.Weight * c.Capacity
+		}
+		for _, t := range m.Tenants {
+			if t.home(at).Cell == c.Name {
+				l.Rate += t.Rate
+			}
+		}
+		list = append(list, l)
+	}
+	return list
+}
+
+// Plan is a move that could be made.
+type Plan struct {
+	Tenant   string
+	From, To string
+	Shard    int
+	At       time.Time // when it comes into force
+	Settled  time.Time // when it is over
+	Before   []Load    // of the two cells
+	After    []Load
+	Next     *Map // the map that makes it
+}
+
+// most is the share of a cell's capacity that a move may leave taken.
+const most = 0.8
+
+// PlanMove plans a tenant's move. It says no, naming why, where the target can't carry it, would have too few servers for
+// it, or where a move of it is under way.
+func (m *Map) PlanMove(now time.Time, tenant, to string, shardOf int) (Plan, error) {
+	p := Plan{Tenant: tenant, To: to, Shard: shardOf}
+	t := m.tenant(tenant, true)
+	if t == nil {
+		return p, fmt.Errorf("tenant %q is not in the map", tenant)
+	}
+	if st := m.state(t, now.UnixMilli()); st != Settled {
+		return p, fmt.Errorf("tenant %q: a move is %v", tenant, st)
+	}
+	home := t.home(now.UnixMilli())
+	p.From = home.Cell
+	if !slices.ContainsFunc(m.Cells, func(c Cell) bool { return c.Name == to }) {
+		return p, fmt.Errorf("no such cell: %q", to)
+	}
+	if p.From == to && home.Shard == shardOf {
+		return p, fmt.Errorf("tenant %q lives in cell %s", tenant, to)
+	}
+	if n := len(m.members(to, now.UnixMilli())); shardOf > n {
+		return p, fmt.Errorf("cell %s has %d servers, not %d", to, n, shardOf)
+	}
+	p.At = now.Add(2*m.Lease + m.Skew) // a lease for whoever reads the map, and one for whoever can't
+	p.Settled = p.At.Add(m.dual() + m.Patient)
+	p.Next = m.with(tenant, Home{Cell: to, Shard: shardOf, From: p.At.UnixMilli()})
+	pick := func(all []Load) (two []Load) {
+		for _, l := range all {
+			if l.Cell == p.From || l.Cell == to {
+				two = append(two, l)
+			}
+		}
+		return two
+	}
+	p.Before, p.After = pick(m.Loads(now)), pick(p.Next.Loads(p.At))
+	for _, l := range p.After {
+		if l.Cell == to && l.Capacity > 0 && l.Share() > most {
+			return p, fmt.Errorf("cell %s can't carry it: %.0f of %.0f requests a second would be taken, at most %.0f%% may be",
+				to, l.Rate, l.Capacity, 100*most)
+		}
+	}
+	return p, nil
+}
+
+// with is the next map, in which a tenant has one home more.
+func (m *Map) with(tenant string, h Home) *Map {
+	next := *m
+	next.Version++
+	next.Tenants = slices.Clone(m.Tenants)
+	for i := range next.Tenants {
+		if next.Tenants[i].Name == tenant {
+			next.Tenants[i].Homes = append(slices.Clone(next.Tenants[i].Homes), h)
+		}
+	}
+	return &next
+}
+
+// PlanAbort plans the way back from a move that is prepared or in force. One that is prepared is taken out again where
+// there is time to tell everybody; else the way back is a move of its own, with the same care for repeats.
+func (m *Map) PlanAbort(now time.Time, tenant string) (*Map, error) {
+	t := m.tenant(tenant, true)
+	if t == nil {
+		return nil, fmt.Errorf("tenant %q is not in the map", tenant)
+	}
+	last := len(t.Homes) - 1
+	switch st := m.state(t, now.UnixMilli()); {
+	case last < 1 || st == Settled || st == Draining:
+		return nil, fmt.Errorf("tenant %q: no move to abort, it is %v", tenant, st)
+	case t.Homes[last].Abort:
+		return nil, fmt.Errorf("tenant %q: its move is being aborted", tenant)
+	}
+	least := now.Add(2*m.Lease + m.Skew).UnixMilli()
+	if t.Homes[last].From > least {
+		next := m.with(tenant, Home{})
+		for i := range next.Tenants {
+			if next.Tenants[i].Name == tenant {
+				next.Tenants[i].Homes = next.Tenants[i].Homes[:last]
+			}
+		}
+		return next, nil
+	}
+	back := t.Homes[last-1]
+	return m.with(tenant, Home{Cell: back.Cell, Shard: back.Shard, From: max(least, t.Homes[last].From+1), Abort: true}), nil
+}
+
+// Compact is the next map without the homes and servers that no repeat can come from any more.
+func (m *Map) Compact(now time.Time) *Map {
+	next := *m
+	next.Version++
+	kept := now.Add(-m.dual() - m.Patient).UnixMilli()
+	next.Tenants = slices.Clone(m.Tenants)
+	for i, t := range next.Tenants {
+		for len(t.Homes) > 1 && t.Homes[1].From < kept {
+			t.Homes = t.Homes[1:]
+			t.Homes = append([]Home{{Cell: t.Homes[0].Cell, Shard: t.Homes[0].Shard, From: t.Homes[0].From}}, t.Homes[1:]...)
+		}
+		next.Tenants[i].Homes = t.Homes
+	}
+	next.Servers = slices.DeleteFunc(slices.Clone(m.Servers), func(s Server) bool { return s.Until > 0 && s.Until < kept })
+	return &next
+}
+
+// Overlap is, of all pairs of named tenants in one cell, the mean share of its servers that one has in common with the
+// other: what shuffle sharding keeps small.
+func (m *Map) Overlap(now time.Time) float64 {
+	at := now.UnixMilli()
+	sum, n := 0.0, 0
+	for i := range m.Tenants {
+		for j := range m.Tenants {
+			a, b := &m.Tenants[i], &m.Tenants[j]
+			if i == j || a.home(at).Cell != b.home(at).Cell {
+				continue
+			}
+			common, mine := 0, m.at(a, a.Name, at)
+			for _, s := range m.at(b, b.Name, at) {
+				if slices.Contains(mine, s) {
+					common++
+				}
+			}
+			sum += float64(common) / float64(max(1, len(mine)))
+			n++
+		}
+	}
+	return sum / float64(max(1, n))
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,6 +41,8 @@
 	HeldKB, Rank  float64
 	Reached, Due  time.Time // when it reached the machine; until when its caller waits
 	Body          []byte
+	// Known asks for a sheet only where it is known here: see Why.
+	Known bool
 }
 
 // Answer is a final answer.
@@ -49,8 +51,16 @@
 	Body    []byte        // served: the result, unchanged
 	Wait    time.Duration // refused: stay away for so long
 	Final   bool          // refused: don't try elsewhere
+	Why     string        // refused: what a router has to know of it; empty where that is nothing
 }
 
+// What a router is told beside a refusal.
+const (
+	WhyUnknown = "unknown" // a sheet that was asked for only if known is not, and will not be run here within its window
+	WhyMoved   = "moved"   // the sheet belongs elsewhere: its key was asked for, and was not known
+	WhyBoot    = "boot"    // meant for an earlier start of this service
+)
+
 // Runner does the work of requests. Its methods never block; what becomes of a run is told by Core.Ended and,
 // when it waits for a call, by Core.Awaits.
 type Runner interface {
@@ -59,6 +69,11 @@
 	Probe()                         // ask for the gauges; told by Core.Gauges
 }
 
+// Forwarder is a Runner that hands a request on as it is; Run is not called then.
+type Forwarder interface {
+	Forward(r Request)
+}
+
 // Caller makes one call below for the run of a request and returns how it ended. It gives the call up when
 // the patience is over or the context ends. Where the call may be made only once, Call sends it only once, and
 // the outcome tells truly whether it may have run.
@@ -95,6 +110,7 @@
 	MemoryMB float64       // the process's own limit
 	Status   bool          // fronts answer requests for the state of the service
 	Pools    *pools.Config // nil: none
+	Cell     bool          // serves in a cell, behind routers: see Known
 	Log      *log.Logger
 	Stats    *stats.Counters
 }
@@ -112,7 +128,9 @@
 	shown  atomic.Pointer[View]
 
 	tellStatus bool
-	doors      map[string]*door // of the classes that need not be read in full to be refused; set up by New
+	cell       bool
+	extra      map[string]func() []byte // further parts of the status, JSON each
+	doors      map[string]*door         // of the classes that need not be read in full to be refused; set up by New
 	shutWait   time.Duration
 	locked     *stats.Timing // waits for the lock
 	decided    *stats.Timing // the module's decisions, under the lock
@@ -146,7 +164,7 @@
 		set.Classes[i].WithoutCall = 0
 	}
 	c := &Core{
-		name: cfg.Name, tellStatus: cfg.Status, set: set, log: cfg.Log, stats: cfg.Stats, base: time.Now(), idle: make(chan struct{}),
+		name: cfg.Name, tellStatus: cfg.Status, cell: cfg.Cell, set: set, log: cfg.Log, stats: cfg.Stats, base: time.Now(), idle: make(chan struct{}),
 		tasks: map[string]*task{}, view: View{Health: true},
 		maxTasks: max(64, int(cfg.MemoryMB*1024/2/taskKB)),
 		keys:     newKeyTable(int(cfg.MemoryMB * (1 << 20) / memoryShare)),
@@ -290,6 +308,17 @@
 // IdleAfter is how long a connection may carry nothing before it is closed; 0 leaves that to the callers.
 func (c *Core) IdleAfter() time.Duration { return c.shown.Load().IdleAfter }
 
+// Boot is when the service started, in Unix milliseconds, where it serves in a cell, and whether it does.
+func (c *Core) Boot() (int64, bool) { return c.base.UnixMilli(), c.cell }
+
+// Tells adds a part to the status; the function returns JSON. It is called before the first request.
+func (c *Core) Tells(name string, part func() []byte) {
+	if c.extra == nil {
+		c.extra = map[string]func() []byte{}
+	}
+	c.extra[name] = part
+}
+
 // Class returns the settings of a class.
 func (c *Core) Class(name string) (silverpath.Class, bool) {
 	for _, k := range c.set.Classes {
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -27,6 +27,8 @@
 	held  *flight // in the hold, not run
 	last  *flight // the latest that was run
 	until time.Time
+	// moved: until then no try of it is run here, as a router asked for it, it was not known, and it runs elsewhere.
+	moved time.Time
 	fresh bool // of a read: it serves others while it is under way and a little longer
 	size  int
 }
@@ -80,6 +82,10 @@
 			return true
 		}
 	}
+	if e != nil && now.Before(e.moved) && !t.Known {
+		t.elsewhere = WhyMoved
+		return true
+	}
 	if k.size >= k.limit {
 		return false
 	}
@@ -88,6 +94,12 @@
 		k.entries[key] = e
 		k.size += e.size
 	}
+	if t.Known {
+		t.elsewhere = WhyUnknown
+		e.moved = later(e.moved, now.Add(t.class.KeyWindow+t.class.Deadline+keyLinger))
+		e.until = later(e.until, e.moved)
+		return true
+	}
 	e.until = later(e.until, t.Due.Add(keyLinger))
 	t.flight = &flight{id: t.ID, sum: sum, entry: e, reached: t.Reached}
 	if !e.fresh {
@@ -175,7 +187,7 @@
 	if e.fresh && e.last == f {
 		e.last = nil
 	}
-	if e.held == nil && e.last == nil && k.entries[e.key] == e {
+	if e.held == nil && e.last == nil && e.moved.IsZero() && k.entries[e.key] == e {
 		k.remove(e)
 	}
 }
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -32,8 +32,10 @@
 	repeats *flight // the run of another try that this one repeats
 	// stranger: it has the key of another request, which is not the same.
 	stranger bool
-	cancel   context.CancelFunc // gives up the call that is out
-	timer    *time.Timer
+	// elsewhere: its key belongs to another server, and why.
+	elsewhere string
+	cancel    context.CancelFunc // gives up the call that is out
+	timer     *time.Timer
 
 	mail []step
 	bell chan struct{} // rung when mail comes
@@ -43,6 +45,7 @@
 type step struct {
 	kind     stepKind
 	answer   Answer
+	given    bool // ended: the answer is that one
 	patience time.Duration
 	outcome  silverpath.Outcome
 	data     []byte
@@ -83,7 +86,11 @@
 	for {
 		switch s := c.next(t); s.kind {
 		case toRun:
-			c.runner.Run(t.ID, t.Class, t.Body)
+			if f, hands := c.runner.(Forwarder); hands {
+				f.Forward(t.Request)
+			} else {
+				c.runner.Run(t.ID, t.Class, t.Body)
+			}
 		case awaits:
 			t.ask = s.data
 			c.choose(func(m *silverpath.Shedder, now time.Duration) { m.NeedsCall(now, t.ID) })
@@ -148,6 +155,8 @@
 		why = "keys_full"
 	case t.stranger:
 		why, full = "key_conflict", Answer{Outcome: Invalid}
+	case t.elsewhere != "":
+		why, full = t.elsewhere, Answer{Outcome: Refused, Wait: c.set.MaxAdvice, Why: t.elsewhere}
 	case t.repeats == nil && r.Due.Sub(now) <= backstop:
 		// Due as it is read: the module has no tick left to answer it in, and would start it where there is room.
 		why, full = "due", Answer{Outcome: Expired}
@@ -248,6 +257,12 @@
 	c.tell(id, step{kind: ended, outcome: o, spent: spent, data: result})
 }
 
+// Returned is told that a request that was handed on has come back without a result, and what its caller is told. What
+// became of it is known elsewhere: a further try of it is handed on again.
+func (c *Core) Returned(id string, a Answer, spent time.Duration) {
+	c.tell(id, step{kind: ended, outcome: silverpath.Ignored, spent: spent, answer: a, given: true})
+}
+
 // Gone is told when the caller of a request has left: no answer is owed any more.
 func (c *Core) Gone(id string) { c.tell(id, step{kind: left}) }
 
@@ -284,9 +299,12 @@
 		c.keys.done(t.flight, s.outcome, s.data, time.Now())
 		c.wakeJoined(t.flight)
 	}
-	if s.outcome == silverpath.OK {
+	switch {
+	case s.given:
+		c.answer(t, s.answer)
+	case s.outcome == silverpath.OK:
 		c.answer(t, Answer{Outcome: Served, Body: s.data})
-	} else {
+	default:
 		c.answer(t, Answer{Outcome: Failed})
 	}
 	c.decide(func(m *silverpath.Shedder, now time.Duration) { m.RunEnded(now, t.ID, s.outcome, s.spent) })
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,590 @@
+// Package fleet is the Runner of a router: it hands requests on to the servers of a fleet over the platform's balancer
+// protocol. Which server a request belongs to is decided by cells, which of several gets a try by routing; this package
+// carries it out. Once a sheet may have run, nobody but its home is asked for it again.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"silverpath"
+	"silverpath/internal/cells"
+	"silverpath/internal/core"
+	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/routing"
+	"silverpath/internal/stats"
+)
+
+// Events is who hears of what came back: the core.
+type Events interface {
+	Up()
+	Class(name string) (silverpath.Class, bool)
+	Ended(id string, o silverpath.Outcome, spent time.Duration, result []byte)
+	Returned(id string, a core.Answer, spent time.Duration)
+	Gauges(g silverpath.Gauges)
+	Advice() time.Duration
+}
+
+// Config sets up a Runner.
+type Config struct {
+	Source  Source // of the cell map
+	Routing routing.Config
+	Cores   int // runs at once that the whole fleet is taken to have room for
+	Probe   time.Duration
+	Sockets int // connections to all servers at most
+	// Dial opens a connection to a server; nil: over TCP.
+	Dial func(ctx context.Context, addr string) (*msgpackrpc.Conn, error)
+}
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	probeWithin = time.Second
+	lateAnswer  = 50 * time.Millisecond // before its due time a try is given up, so that its caller still gets an answer
+	mostHops    = 4                     // servers that one request is sent to, retries and hedges and homes together
+)
+
+// Runner hands requests on.
+type Runner struct {
+	cfg    Config
+	events Events
+	log    *log.Logger
+	stats  *stats.Counters
+	began  time.Time
+	cells  atomic.Pointer[view]
+	room   chan struct{}
+
+	mu     sync.Mutex // the table's
+	table  *routing.Table
+	peers  map[string]*peer
+	flying atomic.Int64
+	said   map[string]routing.Health
+}
+
+// view is the map in force and when it was last known to be the newest.
+type view struct {
+	*cells.Map
+	read time.Time
+}
+
+var (
+	_ core.Runner    = (*Runner)(nil)
+	_ core.Forwarder = (*Runner)(nil)
+)
+
+// New returns a runner with the map that its source has.
+func New(cfg Config, events Events, l *log.Logger, s *stats.Counters) (*Runner, error) {
+	m, fresh, err := cfg.Source.Load(nil)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Dial == nil {
+		cfg.Dial = msgpackrpc.Dial
+	}
+	cfg.Routing.Window = m.Window + m.Patient + 2*m.Skew
+	r := &Runner{
+		cfg: cfg, events: events, log: l, stats: s, began: time.Now(), table: routing.New(cfg.Routing),
+		peers: map[string]*peer{}, said: map[string]routing.Health{}, room: make(chan struct{}, max(8, cfg.Sockets)),
+	}
+	r.take(m, fresh)
+	return r, nil
+}
+
+func (r *Runner) clock() time.Duration { return time.Since(r.began) + time.Hour }
+
+// take puts a map in force.
+func (r *Runner) take(m *cells.Map, read time.Time) {
+	weights := map[string]float64{}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range m.Servers {
+		weights[s.Name] = s.Weight
+		if p := r.peers[s.Name]; p == nil || p.addr != s.Addr {
+			r.peers[s.Name] = &peer{name: s.Name, addr: s.Addr, room: r.room, dial: r.cfg.Dial}
+		}
+	}
+	r.table.Members(r.clock(), weights)
+	r.cells.Store(&view{m, read})
+}
+
+// Reload reads the map again. One that is no good, or can't follow the one in force, is logged, and the old one holds.
+func (r *Runner) Reload() {
+	old := r.cells.Load()
+	m, read, err := r.cfg.Source.Load(old.Map)
+	if err != nil {
+		r.stats.Inc("cells", "bad_map")
+		r.log.Printf("cells: the old map holds, version %d: %v", old.Version, err)
+		return
+	}
+	if m.Version != old.Version {
+		r.stats.Inc("cells", "new_map")
+		r.log.Printf("cells: map version %d, was %d: %d changes", m.Version, old.Version, len(cells.Diff(old.Map, m)))
+	}
+	r.take(m, read)
+}
+
+// Keep probes the servers and reads the map again well within its lease, until the context ends.
+func (r *Runner) Keep(ctx context.Context) {
+	go r.refresh(ctx)
+	first := true
+	for ctx.Err() == nil {
+		var wg sync.WaitGroup
+		for _, s := range r.cells.Load().Servers {
+			wg.Go(func() { r.probe(ctx, s) })
+		}
+		wg.Wait()
+		if first {
+			r.events.Up()
+			first = false
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(r.cfg.Probe):
+		}
+	}
+}
+
+func (r *Runner) refresh(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(r.cells.Load().Lease / 3):
+			r.Reload()
+		}
+	}
+}
+
+// probe asks a server for its health on a connection of its own.
+func (r *Runner) probe(ctx context.Context, s cells.Server) {
+	ctx, cancel := context.WithTimeout(ctx, probeWithin)
+	defer cancel()
+	c, err := r.cfg.Dial(ctx, s.Addr)
+	good := false
+	var a msgpackrpc.Reply
+	if err == nil {
+		defer c.Close()
+		var reply <-chan msgpackrpc.Reply
+		if _, reply, err = c.Send(func(id uint64) []byte { return msgpackrpc.AppendProbe(nil, id) }); err == nil {
+			select {
+			case a, good = <-reply:
+			case <-ctx.Done():
+			}
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if good { // one that says that it is unwell is there all the same: it drains, and knows its sheets
+		r.reached(s.Name, a.Fields)
+	} else {
+		r.table.Missed(r.clock(), s.Name)
+	}
+	r.report()
+}
+
+// reached notes an answer of a server, under the lock.
+func (r *Runner) reached(name string, fields map[string]string) {
+	boot, _ := strconv.ParseInt(fields["b"], 10, 64)
+	entered := int64(0)
+	if s := r.cells.Load().Server(name); s != nil {
+		entered = s.From
+	}
+	r.table.Reached(r.clock(), name, boot, entered, time.Now().UnixMilli())
+	if p := r.peers[name]; p != nil {
+		p.boot.Store(boot)
+	}
+}
+
+// report logs what changed in the health of servers, under the lock.
+func (r *Runner) report() {
+	for _, s := range r.table.States(r.clock()) {
+		if old, known := r.said[s.Name]; s.Health != old || !known {
+			r.said[s.Name] = s.Health
+			r.log.Printf("fleet: server %s is %v", s.Name, s.Health)
+		}
+	}
+}
+
+// Run is not called: see Forward.
+func (r *Runner) Run(string, string, []byte) {}
+
+// Resume is never asked: runs of the fleet wait for no call of ours.
+func (r *Runner) Resume(string, []byte) {}
+
+// Probe reports the gauges: what is out there, for each core that the fleet is taken to have.
+func (r *Runner) Probe() {
+	n := float64(r.flying.Load())
+	r.events.Gauges(silverpath.Gauges{CPU: min(1, n/float64(max(1, r.cfg.Cores))), OnCores: n, Connections: n})
+}
+
+// Forward hands a request on. It does not block.
+func (r *Runner) Forward(q core.Request) {
+	r.flying.Add(1)
+	go func() {
+		defer r.flying.Add(-1)
+		began := time.Now()
+		class, _ := r.events.Class(q.Class)
+		a := r.lead(q, class)
+		if a.Outcome == core.Served {
+			r.events.Ended(q.ID, silverpath.OK, time.Since(began), a.Body)
+		} else {
+			r.events.Returned(q.ID, a, time.Since(began))
+		}
+	}()
+}
+
+// lead is one request's way through the fleet, from the map to its answer.
+func (r *Runner) lead(q core.Request, class silverpath.Class) core.Answer {
+	m := r.cells.Load()
+	keyed := class.Effect == silverpath.Keyed && q.Key != ""
+	key := ""
+	if keyed {
+		key = q.Key
+	}
+	route, ok := m.Route(time.Now(), q.Tenant, key)
+	switch {
+	case !ok:
+		return r.refuse("no_cell")
+	case keyed && time.Since(m.read) > m.Lease:
+		return r.failed("stale_map") // it may have been moved, and run elsewhere
+	case keyed:
+		return r.sheet(q, m, route)
+	case class.Effect == silverpath.Unsafe:
+		return r.effect(q, route)
+	}
+	return r.read(q, route)
+}
+
+func (r *Runner) refuse(why string) core.Answer {
+	r.stats.Inc("fleet", "refused", why)
+	return core.Answer{Outcome: core.Refused, Wait: r.events.Advice()}
+}
+
+func (r *Runner) failed(why string) core.Answer {
+	r.stats.Inc("fleet", "failed", why)
+	return core.Answer{Outcome: core.Failed}
+}
+
+// sheet brings a keyed request to its home. Former homes are asked first whether they know it; one that can't be asked
+// may have run it, so then it fails. What is answered there is the answer; what no former home knows, the home runs.
+func (r *Runner) sheet(q core.Request, m *view, route cells.Route) core.Answer {
+	for _, former := range route.Ask {
+		if r.home(former) == routing.Lost {
+			return r.failed("former_home_lost")
+		}
+		switch e := r.try(q, former, true, q.Due); {
+		case e.outcome == routing.Served:
+			r.stats.Inc("fleet", "former_home")
+			return core.Answer{Outcome: core.Served, Body: e.body}
+		case e.outcome == routing.Refused && (e.why == core.WhyUnknown || e.why == core.WhyMoved):
+		default:
+			return r.failed("former_home_" + e.name())
+		}
+	}
+	home := route.Home
+	for range 2 {
+		switch r.home(home) {
+		case routing.Lost:
+			return r.failed("home_lost")
+		case routing.Waiting:
+			return r.refuse("home_full")
+		}
+		switch e := r.try(q, home, false, q.Due); {
+		case e.outcome == routing.Served:
+			return core.Answer{Outcome: core.Served, Body: e.body}
+		case e.outcome == routing.Refused && e.why == core.WhyMoved:
+			// Another router, whose clock is ahead, has asked here before it ran the sheet in its new home.
+			next, ok := m.Route(time.Now().Add(2*m.Skew), q.Tenant, q.Key)
+			if !ok || next.Home == home {
+				return r.failed("moved_nowhere")
+			}
+			home = next.Home
+		case e.outcome == routing.Refused && e.why != "":
+			return r.failed("home_" + e.why) // it started anew: an earlier try may have run before
+		case e.outcome == routing.Refused:
+			r.stats.Inc("fleet", "refused", "home")
+			return core.Answer{Outcome: core.Refused, Wait: e.away, Final: e.final}
+		default:
+			return r.failed("home_" + e.name())
+		}
+	}
+	return r.failed("moved_twice")
+}
+
+func (r *Runner) home(name string) routing.Home {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Home(r.clock(), name)
+}
+
+// effect brings a request that must run at most once to one server, and to another only on proof that it never ran.
+func (r *Runner) effect(q core.Request, route cells.Route) core.Answer {
+	return r.tries(q, route, false)
+}
+
+// read brings a safe request to a server, with a second copy where the first takes longer than nearly all do.
+func (r *Runner) read(q core.Request, route cells.Route) core.Answer { return r.tries(q, route, true) }
+
+func (r *Runner) tries(q core.Request, route cells.Route, safe bool) core.Answer {
+	r.mu.Lock()
+	r.table.First(r.clock())
+	r.mu.Unlock()
+	last, worst := "", core.Answer{Outcome: core.Refused, Wait: r.events.Advice()}
+	for range mostHops {
+		name, ok := r.pick(route.Servers, last)
+		if !ok {
+			if last == "" {
+				r.stats.Inc("fleet", "refused", "nobody")
+			}
+			return worst
+		}
+		e := r.hedged(q, route, name, safe)
+		switch {
+		case e.outcome == routing.Served:
+			return core.Answer{Outcome: core.Served, Body: e.body}
+		case e.outcome == routing.Refused:
+			worst = core.Answer{Outcome: core.Refused, Wait: e.away, Final: e.final}
+		case !e.outcome.NeverRan():
+			worst = r.failed(e.name())
+		}
+		r.mu.Lock()
+		again := r.table.Retry(e.outcome, safe, e.final)
+		r.mu.Unlock()
+		if !again || time.Until(q.Due) <= 2*lateAnswer {
+			return worst
+		}
+		r.stats.Inc("fleet", "retried")
+		last = name
+	}
+	return worst
+}
+
+func (r *Runner) pick(among []string, not string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Pick(r.clock(), among, not)
+}
+
+// hedged makes a try, and a second copy of it elsewhere where it is a read that takes long and the budget has one left.
+// Whichever is served first is the answer; the other is given up.
+func (r *Runner) hedged(q core.Request, route cells.Route, name string, safe bool) ending {
+	r.mu.Lock()
+	after, known := r.table.HedgeAfter()
+	r.mu.Unlock()
+	if !safe || !known {
+		return r.try(q, name, false, q.Due)
+	}
+	ends := make(chan ending, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { ends <- r.tryIn(ctx, q, name, false, q.Due) }()
+	hedge := time.NewTimer(after)
+	defer hedge.Stop()
+	out := 1
+	for {
+		select {
+		case e := <-ends:
+			if out--; e.outcome == routing.Served || out == 0 {
+				return e
+			}
+		case <-hedge.C:
+			other, ok := r.pick(route.Servers, name)
+			if !ok {
+				continue
+			}
+			r.mu.Lock()
+			ok = r.table.Hedge()
+			r.mu.Unlock()
+			if ok {
+				r.stats.Inc("fleet", "hedged")
+				out++
+				second := q
+				second.ID = q.ID + "h" // its own try, by its own id
+				go func() { ends <- r.tryIn(ctx, second, other, false, q.Due) }()
+			}
+		}
+	}
+}
+
+// ending is how a try ended.
+type ending struct {
+	outcome routing.Outcome
+	body    []byte
+	away    time.Duration
+	final   bool
+	why     string
+}
+
+func (e ending) name() string {
+	return [...]string{"served", "refused", "failed", "broken", "unreachable", "timed_out", "unwritten"}[e.outcome]
+}
+
+func (r *Runner) try(q core.Request, name string, known bool, due time.Time) ending {
+	return r.tryIn(context.Background(), q, name, known, due)
+}
+
+// tryIn sends a try to a server and waits for its answer until shortly before it is due.
+func (r *Runner) tryIn(ctx context.Context, q core.Request, name string, known bool, due time.Time) ending {
+	r.mu.Lock()
+	p := r.peers[name]
+	r.table.Sent(name)
+	r.mu.Unlock()
+	began := time.Now()
+	e, fields := ending{outcome: routing.Refusing}, map[string]string(nil)
+	if p != nil {
+		ctx, cancel := context.WithDeadline(ctx, due.Add(-lateAnswer))
+		defer cancel()
+		e, fields = p.send(ctx, msgpackrpc.Try{
+			ID: q.ID, Class: q.Class, Tenant: q.Tenant, Key: q.Key, Reached: began, Wait: due.Sub(began) - lateAnswer/2,
+			HeldKB: q.HeldKB, Rank: q.Rank, Caller: q.Caller, Body: q.Body, Known: known, Boot: p.boot.Load(),
+		})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	if fields != nil {
+		r.reached(name, fields)
+		credit, _ := strconv.ParseFloat(fields["v"], 64)
+		away := e.away
+		if e.outcome != routing.Refused || e.why != "" {
+			away = 0
+		}
+		r.table.Told(now, name, credit, away)
+	}
+	if errors.Is(ctx.Err(), context.Canceled) && e.outcome == routing.TimedOut {
+		r.table.Ended(now, name, routing.Refused, 0, false) // given up for another copy's answer: says nothing of it
+		return e
+	}
+	r.table.Ended(now, name, e.outcome, time.Since(began), q.Key == "")
+	return e
+}
+
+// Close closes the connections to all servers.
+func (r *Runner) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		p.mu.Lock()
+		for _, c := range p.conns {
+			c.Close()
+		}
+		p.mu.Unlock()
+	}
+}
+
+// States are the servers as they are known, and what was decided, for operators.
+func (r *Runner) States() ([]routing.State, routing.Counts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.States(r.clock()), r.table.Counts()
+}
+
+// Map is the map in force.
+func (r *Runner) Map() *cells.Map { return r.cells.Load().Map }
+
+// ---- Connections ----
+
+// peer is a server with its connections.
+type peer struct {
+	name, addr string
+	boot       atomic.Int64
+	room       chan struct{} // of the router's connections to all servers
+	dial       func(ctx context.Context, addr string) (*msgpackrpc.Conn, error)
+
+	mu    sync.Mutex
+	conns []*msgpackrpc.Conn
+}
+
+// conn returns a connection with room for one more request, a new one where there is none.
+func (p *peer) conn(ctx context.Context) (*msgpackrpc.Conn, error) {
+	p.mu.Lock()
+	kept := p.conns[:0]
+	var found *msgpackrpc.Conn
+	for _, c := range p.conns {
+		room, usable := c.Room()
+		if !usable {
+			<-p.room
+			continue
+		}
+		kept = append(kept, c)
+		if room && found == nil {
+			found = c
+		}
+	}
+	p.conns = kept
+	p.mu.Unlock()
+	if found != nil {
+		return found, nil
+	}
+	select {
+	case p.room <- struct{}{}:
+	default:
+		return nil, fmt.Errorf("connecting to %s: no connections left", p.name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, p.addr)
+	if err != nil {
+		<-p.room
+		return nil, err
+	}
+	p.mu.Lock()
+	p.conns = append(p.conns, c)
+	p.mu.Unlock()
+	return c, nil
+}
+
+// send sends a try and waits for its end. Where the connection turns out to be closed as it is written to, the try goes
+// out on a new one: nothing of it was read.
+func (p *peer) send(ctx context.Context, t msgpackrpc.Try) (ending, map[string]string) {
+	for range 2 {
+		c, err := p.conn(ctx)
+		if err != nil {
+			return ending{outcome: refusing(ctx, err)}, nil
+		}
+		id, reply, err := c.Send(func(id uint64) []byte { return t.Append(nil, id) })
+		if err != nil {
+			continue
+		}
+		select {
+		case a, ok := <-reply:
+			if !ok {
+				return ending{outcome: routing.Broken}, nil
+			}
+			return end(a), a.Fields
+		case <-ctx.Done():
+			c.GiveUp(id)
+			return ending{outcome: routing.TimedOut}, nil
+		}
+	}
+	return ending{outcome: routing.Unwritten}, nil
+}
+
+// refusing says what a connection that could not be had proves: nothing was sent, so nothing ran.
+func refusing(_ context.Context, err error) routing.Outcome {
+	var op *net.OpError
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &op) {
+		return routing.Refusing
+	}
+	return routing.Unwritten
+}
+
+func end(a msgpackrpc.Reply) ending {
+	ms, _ := strconv.ParseInt(a.Fields["w"], 10, 64)
+	switch a.Error {
+	case "":
+		return ending{outcome: routing.Served, body: a.Body}
+	case "Full":
+		return ending{
+			outcome: routing.Refused, away: time.Duration(ms) * time.Millisecond, final: a.Fields["l"] == "1", why: a.Fields["x"],
+		}
+	}
+	return ending{outcome: routing.Failed}
+}
--- /dev/null
+++ b/internal/fleet/source.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"silverpath/internal/cells"
+	"silverpath/internal/settings"
+)
+
+// Source is where a router has its cell map from.
+type Source interface {
+	// Load returns the map and when it was known to be the newest. One that can't follow the old one, which is nil at a
+	// start, is an error, as is one that can't be read.
+	Load(old *cells.Map) (*cells.Map, time.Time, error)
+}
+
+// File is a map in a file, beside a store that keeps the last good one over a restart of the router.
+type File struct {
+	path  string
+	store *bbolt.DB // nil: none
+}
+
+var (
+	bucket  = []byte("cells")
+	keyMap  = []byte("map")
+	keyRead = []byte("read")
+)
+
+// OpenFile returns the source in a file; the state's path is empty where nothing is kept.
+func OpenFile(path, state string) (*File, error) {
+	f := &File{path: path}
+	if state == "" {
+		return f, nil
+	}
+	var err error
+	f.store, err = bbolt.Open(state, 0o600, &bbolt.Options{Timeout: time.Second})
+	if err != nil {
+		return nil, fmt.Errorf("state %s: %w", state, err)
+	}
+	err = f.store.Update(func(tx *bbolt.Tx) error {
+		_, err := tx.CreateBucketIfNotExists(bucket)
+		return err
+	})
+	if err != nil {
+		return nil, fmt.Errorf("state %s: %w", state, err)
+	}
+	return f, nil
+}
+
+// Close closes the store.
+func (f *File) Close() error {
+	if f.store == nil {
+		return nil
+	}
+	return f.store.Close()
+}
+
+// Load reads the file. At a start the map that was kept stands for the old one: what is in the file must be able to follow
+// it, and where the file is no good the router goes on with what it had, known to be the newest when it was last read.
+func (f *File) Load(old *cells.Map) (*cells.Map, time.Time, error) {
+	now := time.Now()
+	kept, read := f.kept()
+	starting := old == nil
+	if starting {
+		old = kept
+	}
+	m, err := f.parse()
+	if err == nil && old != nil {
+		err = m.Follows(old, now)
+	}
+	if err != nil {
+		err = fmt.Errorf("%s: %w", f.path, err)
+		if starting && kept != nil {
+			return kept, read, nil
+		}
+		return nil, now, err
+	}
+	if err := f.keep(m, now); err != nil {
+		return nil, now, err
+	}
+	return m, now, nil
+}
+
+func (f *File) parse() (*cells.Map, error) {
+	data, err := os.ReadFile(f.path)
+	if err != nil {
+		return nil, err
+	}
+	return settings.ParseCells(data)
+}
+
+// kept is the map in the store and when it was last read, nil for none.
+func (f *File) kept() (m *cells.Map, read time.Time) {
+	if f.store == nil {
+		return nil, read
+	}
+	f.store.View(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(bucket)
+		data, at := b.Get(keyMap), b.Get(keyRead)
+		if data == nil || len(at) != 8 {
+			return errors.New("nothing is kept")
+		}
+		var err error
+		if m, err = settings.ParseCells(data); err != nil {
+			m = nil
+			return err
+		}
+		read = time.UnixMilli(int64(binary.BigEndian.Uint64(at)))
+		return nil
+	})
+	return m, read
+}
+
+func (f *File) keep(m *cells.Map, now time.Time) error {
+	if f.store == nil {
+		return nil
+	}
+	err := f.store.Update(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(bucket)
+		if err := b.Put(keyMap, settings.FormatCells(m)); err != nil {
+			return err
+		}
+		return b.Put(keyRead, binary.BigEndian.AppendUint64(nil, uint64(now.UnixMilli())))
+	})
+	if err != nil {
+		return fmt.Errorf("keeping the map: %w", err)
+	}
+	return nil
+}
+
+// Write replaces a map's file as a whole: whoever reads it finds the old one or the new one.
+func Write(path string, m *cells.Map) error {
+	next := path + ".next"
+	if err := os.WriteFile(next, settings.FormatCells(m), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(next, path)
+}
--- /dev/null
+++ b/internal/fleet/status.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/valyala/fastjson"
+)
+
+// Status is what a router knows of its fleet, as a JSON object: the map in force, its servers and what was decided.
+func (r *Runner) Status() []byte {
+	m := r.cells.Load()
+	states, counts := r.States()
+	var a fastjson.Arena
+	o := a.NewObject()
+	o.Set("map_version", a.NewNumberInt(m.Version))
+	o.Set("map_read_ms_ago", a.NewNumberInt(int(time.Since(m.read).Milliseconds())))
+	list := a.NewArray()
+	for i, s := range states {
+		e := a.NewObject()
+		e.Set("name", a.NewString(s.Name))
+		e.Set("health", a.NewString(s.Health.String()))
+		e.Set("circuit", a.NewString(s.Circuit.String()))
+		e.Set("flying", a.NewNumberInt(s.Flying))
+		e.Set("latency_ms", a.NewNumberFloat64(s.Latency.Seconds()*1000))
+		e.Set("fails", a.NewNumberFloat64(s.Fails))
+		e.Set("part", a.NewNumberFloat64(s.Part))
+		if s.Lost {
+			e.Set("sheets_lost", a.NewTrue())
+		} else {
+			e.Set("sheets_lost", a.NewFalse())
+		}
+		if at := m.Server(s.Name); at != nil {
+			e.Set("cell", a.NewString(at.Cell))
+		}
+		list.SetArrayItem(i, e)
+	}
+	o.Set("servers", list)
+	tenants := a.NewObject()
+	for _, t := range m.Tenants {
+		if st, ok := m.MoveState(t.Name, time.Now()); ok {
+			tenants.Set(t.Name, a.NewString(st.String()))
+		}
+	}
+	o.Set("tenants", tenants)
+	for _, c := range []struct {
+		name string
+		n    uint64
+	}{
+		{"ejected", counts.Ejected}, {"panicked", counts.Panicked}, {"retried", counts.Retried},
+		{"retries_spent", counts.RetriesSpent}, {"hedged", counts.Hedged}, {"hedges_spent", counts.HedgesSpent},
+		{"cold_back", counts.ColdBack},
+	} {
+		o.Set(c.name, a.NewNumberInt(int(c.n)))
+	}
+	return o.MarshalTo(nil)
+}
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -159,6 +159,9 @@
 	}
 	c.mu.Unlock()
 	switch {
+	case problem == core.WhyBoot:
+		c.stats.Inc("turned_away", Name, problem)
+		c.reply(m.id, core.Answer{Outcome: core.Refused, Wait: c.core.Advice(), Why: problem})
 	case problem != "":
 		c.stats.Inc("bad_field", Name, problem)
 		c.reply(m.id, core.Answer{Outcome: core.Failed})
@@ -217,10 +220,14 @@
 	if f["f"] != "" && (err != nil || caller < 0) {
 		return r, "f"
 	}
+	boot, cell := c.Boot()
+	if cell && f["b"] != "" && f["b"] != strconv.FormatInt(boot, 10) {
+		return r, core.WhyBoot
+	}
 	reached := time.UnixMilli(stamp)
 	return core.Request{
 		Front: Name, ID: f["i"], Class: m.method, Tenant: f["t"], Key: f["k"], Object: f["o"],
-		Caller: caller, HeldKB: held, Rank: rank, Body: m.body,
+		Caller: caller, HeldKB: held, Rank: rank, Body: m.body, Known: cell && f["n"] == "1",
 		Reached: reached, Due: reached.Add(time.Duration(wait) * time.Millisecond),
 	}, ""
 }
@@ -230,6 +237,9 @@
 	if v, ok := c.core.Signal(); ok {
 		pairs = append(pairs, "v", strconv.FormatFloat(v, 'f', -1, 64))
 	}
+	if boot, cell := c.core.Boot(); cell {
+		pairs = append(pairs, "b", strconv.FormatInt(boot, 10))
+	}
 	return pairs
 }
 
@@ -265,6 +275,9 @@
 		if a.Final {
 			fields = append(fields, "l", "1")
 		}
+		if a.Why != "" {
+			fields = append(fields, "x", a.Why)
+		}
 		b = appendText(appendArray(b, 2), full)
 	default:
 		b = appendText(appendArray(b, 2), failed)
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,311 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func table(n int, c Config) (*Table, []string) {
+	c.Window = 13 * time.Second
+	t := New(c)
+	weights, names := map[string]float64{}, []string{}
+	for i := range n {
+		names = append(names, fmt.Sprint("s", i))
+		weights[names[i]] = 1
+	}
+	t.Members(time.Hour, weights)
+	for _, s := range names {
+		t.Reached(time.Hour, s, 0, 0, 0)
+		t.servers[s].since = 0
+	}
+	return t, names
+}
+
+// play sends tries, of which each server takes and gives what it is said to, and returns how many went to each.
+func play(t *Table, names []string, now time.Duration, n int, every time.Duration, server func(name string) (Outcome, time.Duration)) map[string]int {
+	got := map[string]int{}
+	type out struct {
+		name string
+		end  time.Duration
+		o    Outcome
+		took time.Duration
+	}
+	var flying []out
+	for range n {
+		now += every
+		kept := flying[:0]
+		for _, f := range flying {
+			if f.end <= now {
+				t.Ended(now, f.name, f.o, f.took, true)
+			} else {
+				kept = append(kept, f)
+			}
+		}
+		flying = kept
+		t.First(now)
+		name, ok := t.Pick(now, names, "")
+		if !ok {
+			got[""]++
+			continue
+		}
+		got[name]++
+		t.Sent(name)
+		o, took := server(name)
+		flying = append(flying, out{name, now + took, o, took})
+	}
+	return got
+}
+
+// A server that fails at once is the quickest and has nothing in flight: it must not attract what there is. It is
+// ejected, tried again one at a time, and taken back when it is well.
+func TestFastFailuresAttractNothing(t *testing.T) {
+	tb, names := table(4, Config{})
+	now := time.Hour
+	got := play(tb, names, now, 2000, 5*time.Millisecond, func(name string) (Outcome, time.Duration) {
+		if name == "s0" {
+			return Failed, time.Millisecond
+		}
+		return Served, 80 * time.Millisecond
+	})
+	if got["s0"] > 60 || tb.Counts().Ejected < 1 {
+		t.Fatalf("%v went to each, %+v", got, tb.Counts())
+	}
+	now += 2 * time.Minute
+	got = play(tb, names, now, 4000, 5*time.Millisecond, func(string) (Outcome, time.Duration) { return Served, 80 * time.Millisecond })
+	if got["s0"] < 600 {
+		t.Errorf("%v went to each once it was well", got)
+	}
+}
+
+// A server ten times slower than the others of its cell gets next to nothing; a cell that is slow as a whole is used.
+func TestSlowServers(t *testing.T) {
+	tb, names := table(4, Config{})
+	slowOnes := func(slow ...string) func(string) (Outcome, time.Duration) {
+		return func(name string) (Outcome, time.Duration) {
+			for _, s := range slow {
+				if s == name {
+					return Served, 800 * time.Millisecond
+				}
+			}
+			return Served, 80 * time.Millisecond
+		}
+	}
+	if got := play(tb, names, time.Hour, 2000, 10*time.Millisecond, slowOnes("s0")); got["s0"] > 100 {
+		t.Errorf("%v went to each", got)
+	}
+	if got := play(tb, names, 2*time.Hour, 2000, 10*time.Millisecond, slowOnes(names...)); got[""] > 0 || got["s1"] < 300 {
+		t.Errorf("%v went to each of a slow cell", got)
+	}
+}
+
+// When more than half of a cell is out, health says more of the router than of the servers: all are tried, and no more
+// than the cap is out otherwise.
+func TestPanic(t *testing.T) {
+	tb, names := table(4, Config{})
+	got := play(tb, names, time.Hour, 400, 10*time.Millisecond, func(string) (Outcome, time.Duration) { return Failed, time.Millisecond })
+	if got[""] > 0 || tb.Counts().Panicked == 0 {
+		t.Errorf("%v, %+v", got, tb.Counts())
+	}
+	for _, n := range names {
+		if got[n] < 50 {
+			t.Errorf("%v went to each", got)
+		}
+	}
+	tb, names = table(5, Config{})
+	for _, n := range names[:2] {
+		tb.Missed(time.Hour, n)
+	}
+	if good := tb.withoutOutliers(tb.draw(names), tb.draw(names)); len(good) != 3 {
+		t.Errorf("%d are left of five with two suspects", len(good))
+	}
+}
+
+// Suspicion comes before death, one that came back cold is eased in and has forgotten its sheets, and who flaps must be
+// well for a while.
+func TestMembership(t *testing.T) {
+	tb, _ := table(3, Config{})
+	now := time.Hour
+	health := func() Health { return tb.servers["s0"].health }
+	tb.Missed(now, "s0")
+	if health() != Suspect {
+		t.Fatalf("after one failure %v", health())
+	}
+	tb.Missed(now, "s0")
+	tb.Missed(now, "s0")
+	if health() != Dead || tb.Home(now, "s0") != Lost {
+		t.Fatalf("after three %v", health())
+	}
+	now += time.Second
+	tb.Reached(now, "s0", 0, 0, 0) // it says nothing of its start: it may be another one
+	if health() != Alive || tb.Home(now, "s0") != Lost || tb.part(now, tb.servers["s0"]) > 0.2 {
+		t.Fatalf("%v, home %v", health(), tb.Home(now, "s0"))
+	}
+	if tb.Home(now+14*time.Second, "s0") != Send {
+		t.Error("no sheet of before can come again, and it still gets none")
+	}
+	for range 6 {
+		now += time.Second
+		for range 3 {
+			tb.Missed(now, "s0")
+		}
+		tb.Reached(now, "s0", 0, 0, 0)
+	}
+	if health() == Alive {
+		t.Error("one that comes and goes counts as alive")
+	}
+	if tb.Reached(now+flapFor+time.Second, "s0", 0, 0, 0); health() != Alive {
+		t.Error("it never does again")
+	}
+}
+
+// What a server says of its start tells a restart from a broken link, and a router that starts itself learns of what it
+// missed; one that entered the map after it had started has nothing to forget.
+func TestBoots(t *testing.T) {
+	for name, c := range map[string]struct {
+		boots   []int64
+		entered int64
+		want    Home
+	}{
+		"the same start":      {[]int64{1000, 1000}, 5000, Send},
+		"started anew":        {[]int64{1000, 99000}, 500, Lost},
+		"long ago":            {[]int64{1000, 50000}, 500, Send},
+		"a router that comes": {[]int64{95000}, 500, Lost},
+		"new in the map":      {[]int64{95000}, 96000, Send},
+	} {
+		tb := New(Config{Window: 13 * time.Second})
+		tb.Members(time.Hour, map[string]float64{"s": 1})
+		for _, b := range c.boots {
+			tb.Reached(time.Hour, "s", b, c.entered, 100000)
+		}
+		if got := tb.Home(time.Hour, "s"); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Further tries are a share of the first ones, whatever fails; a write is tried again only on proof.
+func TestBudgets(t *testing.T) {
+	tb, _ := table(3, Config{Retries: 0.1, Hedges: 0.05})
+	again, hedged := 0, 0
+	for i := range 10000 {
+		tb.First(time.Hour + time.Duration(i)*time.Millisecond)
+		if tb.Retry(Refused, true, false) {
+			again++
+		}
+		if tb.Hedge() {
+			hedged++
+		}
+	}
+	if again > 1100 || again < 900 || hedged > 550 || hedged < 450 {
+		t.Errorf("%d retries and %d hedges for 10000 first tries", again, hedged)
+	}
+	tb, _ = table(3, Config{Retries: 1})
+	for o, want := range map[Outcome][2]bool{ // of a write, of a read
+		Served: {false, false}, Refused: {true, true}, Refusing: {true, true}, Unwritten: {true, true},
+		Failed: {false, true}, Broken: {false, true}, TimedOut: {false, false},
+	} {
+		for range 5 {
+			tb.First(time.Hour)
+		}
+		if got := [2]bool{tb.Retry(o, false, false), tb.Retry(o, true, false)}; got != want {
+			t.Errorf("outcome %d: %v, want %v", o, got, want)
+		}
+	}
+	if tb.Retry(Refused, true, true) {
+		t.Error("tried elsewhere against the server's wish")
+	}
+}
+
+// Who asked to be left alone is, and a told credit is kept.
+func TestTold(t *testing.T) {
+	tb, _ := table(1, Config{})
+	now := time.Hour
+	tb.Told(now, "s0", 2, 0)
+	for range 2 {
+		if _, ok := tb.Pick(now, []string{"s0"}, ""); !ok {
+			t.Fatal("nobody")
+		}
+		tb.Sent("s0")
+	}
+	if n, ok := tb.Pick(now, []string{"s0"}, ""); ok {
+		t.Errorf("%s, with two out there of two", n)
+	}
+	tb.Ended(now, "s0", Served, time.Millisecond, true)
+	tb.Told(now, "s0", 0, time.Second)
+	if _, ok := tb.Pick(now, []string{"s0"}, ""); ok || tb.Home(now, "s0") != Waiting {
+		t.Error("it is not left alone")
+	}
+	if _, ok := tb.Pick(now+time.Second, []string{"s0"}, ""); !ok {
+		t.Error("left alone for good")
+	}
+}
+
+// Over random events nothing in flight goes negative, what is picked is among those asked for and never the one left
+// out, and budgets hold.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tb, names := table(rapid.IntRange(1, 6).Draw(t, "servers"), Config{Retries: 0.1})
+		now := time.Hour
+		out := map[string]int{}
+		first, again := 0, 0
+		for range rapid.IntRange(0, 200).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+			name := rapid.SampledFrom(names).Draw(t, "server")
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1:
+				first++
+				tb.First(now)
+				if got, ok := tb.Pick(now, names, name); ok {
+					if got == name || tb.servers[got] == nil {
+						t.Fatalf("picked %q but for %q", got, name)
+					}
+					tb.Sent(got)
+					out[got]++
+				}
+			case 2:
+				if out[name] > 0 {
+					out[name]--
+					o := Outcome(rapid.IntRange(0, int(Unwritten)).Draw(t, "outcome"))
+					tb.Ended(now, name, o, time.Duration(rapid.IntRange(1, 3000).Draw(t, "took"))*time.Millisecond, true)
+					if tb.Retry(o, true, false) {
+						again++
+					}
+				}
+			case 3:
+				tb.Missed(now, name)
+			case 4:
+				tb.Reached(now, name, 0, 0, 0)
+			case 5:
+				tb.Told(now, name, float64(rapid.IntRange(0, 5).Draw(t, "credit")), time.Duration(rapid.IntRange(0, 2).Draw(t, "away"))*time.Second)
+			}
+			for _, n := range names {
+				if tb.servers[n].flying != out[n] {
+					t.Fatalf("%d in flight at %s, sent %d", tb.servers[n].flying, n, out[n])
+				}
+			}
+			if float64(again) > budgetLeast+0.1*float64(first)+1e-6 {
+				t.Fatalf("%d further tries of %d first ones", again, first)
+			}
+		}
+	})
+}
+
+// What a choice costs, by the number of servers.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 120, 1200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			tb, names := table(n, Config{})
+			rng := rand.New(rand.NewPCG(1, 1))
+			b.ReportAllocs()
+			for b.Loop() {
+				s, _ := tb.Pick(time.Hour, names, "")
+				tb.Sent(s)
+				tb.Ended(time.Hour, s, Served, time.Duration(50+rng.IntN(50))*time.Millisecond, true)
+			}
+		})
+	}
+}
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -18,7 +18,9 @@
 	"time"
 
 	"silverpath"
+	"silverpath/internal/cells"
 	"silverpath/internal/core"
+	"silverpath/internal/fleet"
 	"silverpath/internal/front"
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/pipes"
@@ -208,6 +210,7 @@
 	t       *testing.T
 	driver  driver
 	core    *core.Core
+	worker  *core.Core // the one whose engine does the work: core itself, or a server's behind a router
 	engine  *engine
 	vault   *vault
 	log     *log.Logger
@@ -294,7 +297,7 @@
 }
 
 func (e *edge) end(r run, o silverpath.Outcome, result string) {
-	e.core.Ended(r.id, o, time.Millisecond, []byte(result))
+	e.worker.Ended(r.id, o, time.Millisecond, []byte(result))
 	synctest.Wait()
 }
 
@@ -440,7 +443,7 @@
 	{"a call goes below and its reply back, both unchanged", func(e *edge) {
 		c := e.send(try{class: "oddaja", key: "k", body: "x"})
 		r := e.ran("x")[0]
-		e.core.Awaits(r.id, []byte("\x00ask"))
+		e.worker.Awaits(r.id, []byte("\x00ask"))
 		e.ran("x", "re:\x00ask")
 		e.end(r, silverpath.OK, "done")
 		e.one(c, core.Served, "done")
@@ -449,7 +452,7 @@
 		e.vault.ends = []silverpath.Outcome{silverpath.Overloaded, silverpath.Unreachable, silverpath.Failed}
 		c := e.send(try{class: "oddaja", key: "k", body: "x"})
 		r := e.ran("x")[0]
-		e.core.Awaits(r.id, []byte("ask"))
+		e.worker.Awaits(r.id, []byte("ask"))
 		e.pass(time.Second)
 		if n := len(e.vault.seen()); n != 3 {
 			e.t.Fatalf("%d calls, want 3: two proved that they never ran, the third did not", n)
@@ -460,7 +463,7 @@
 	{"a call that does not end is given up in time for the answer", func(e *edge) {
 		e.vault.delay = time.Hour
 		c := e.send(try{class: "lestvica", body: "x", wait: time.Second})
-		e.core.Awaits(e.ran("x")[0].id, []byte("ask"))
+		e.worker.Awaits(e.ran("x")[0].id, []byte("ask"))
 		e.pass(time.Second)
 		e.one(c, core.Failed, "")
 	}},
@@ -594,13 +597,16 @@
 	}},
 }
 
-// roles are what the suite runs on, unchanged: the service as the platform has it, and with pools and a reserve.
+// roles are what the suite runs on, unchanged: the service as the platform has it, with pools and a reserve, and through a
+// router.
 var roles = []struct {
-	name  string
-	pools *pools.Config
+	name   string
+	routed bool
+	pools  *pools.Config
 }{
-	{"", nil},
-	{" with pools", &pools.Config{Pools: []pools.Pool{
+	{"", false, nil},
+	{" through a router", true, nil},
+	{" with pools", false, &pools.Config{Pools: []pools.Pool{
 		{Name: "sheets", Classes: []string{"oddaja"}, Weight: 10, Floor: 0.3}, {Name: "others", Weight: 1, Floor: 0.1}}}},
 }
 
@@ -610,7 +616,7 @@
 			t.Run(d.name+role.name, func(t *testing.T) {
 				for _, c := range cases {
 					t.Run(c.name, func(t *testing.T) {
-						synctest.Test(t, func(t *testing.T) { play(t, d, role.pools, c.test) })
+						synctest.Test(t, func(t *testing.T) { play(t, d, role.pools, role.routed, c.test) })
 					})
 				}
 			})
@@ -618,8 +624,49 @@
 	}
 }
 
+// fixed is the source of a map that does not change.
+type fixed struct{ *cells.Map }
+
+func (f fixed) Load(*cells.Map) (*cells.Map, time.Time, error) { return f.Map, time.Now(), nil }
+
+// route puts a server of its own behind the edge's core, which becomes a router's. It returns what ends both.
+func (e *edge) route() func() {
+	var err error
+	e.worker, err = core.New(core.Config{Settings: site, MemoryMB: 64, Log: e.log, Stats: &stats.Counters{}, Cell: true})
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	back := pipes.Listen()
+	ln := front.New("back", back, 1000, e.worker.IdleAfter, msgpackrpc.New(e.worker, e.log, e.stats).Serve, e.log, e.stats)
+	go ln.Serve()
+	r, err := fleet.New(fleet.Config{
+		Source: fixed{&cells.Map{
+			Version: 1, Window: window, Lease: time.Hour, Patient: deadline, Cells: []cells.Cell{{Name: "a"}},
+			Servers: []cells.Server{{Name: "s0", Addr: "pipe", Cell: "a", Weight: 1, From: time.Now().UnixMilli()}},
+			Tenants: []cells.Tenant{{Homes: []cells.Home{{Cell: "a"}}}},
+		}},
+		Cores: 64, Probe: time.Second, Sockets: 100,
+		Dial: func(context.Context, string) (*msgpackrpc.Conn, error) { return msgpackrpc.NewConn(back.Dial()), nil },
+	}, e.core, e.log, e.stats)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	if err := e.core.Attach(r, nil); err != nil {
+		e.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.Keep(ctx)
+	return func() {
+		cancel()
+		r.Close()
+		ln.Close()
+		e.worker.Stop()
+		time.Sleep(2 * time.Hour)
+	}
+}
+
 // play runs one case on a new edge.
-func play(t *testing.T, d driver, p *pools.Config, test func(*edge)) {
+func play(t *testing.T, d driver, p *pools.Config, routed bool, test func(*edge)) {
 	e := &edge{
 		t: t, driver: d, log: log.New(io.Discard, "", 0), stats: &stats.Counters{}, vault: &vault{},
 		pipes: pipes.Listen(),
@@ -629,11 +676,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.engine = &engine{core: e.core}
-	if err := e.core.Attach(e.engine, e.vault); err != nil {
+	e.worker = e.core
+	if routed {
+		defer e.route()()
+	}
+	e.engine = &engine{core: e.worker}
+	if err := e.worker.Attach(e.engine, e.vault); err != nil {
 		t.Fatal(err)
 	}
-	e.core.Up()
+	e.worker.Up()
+	synctest.Wait()
 	e.ln = front.New(d.name, e.pipes, 1000, e.core.IdleAfter, d.serve(e), e.log, e.stats)
 	if p != nil {
 		e.ln.Reserve(pools.ReserveConfig{})
@@ -644,13 +696,13 @@
 			c.drop()
 		}
 		for _, r := range e.engine.seen() { // so that every goroutine ends
-			e.core.Ended(r.id, silverpath.Failed, 0, nil)
+			e.worker.Ended(r.id, silverpath.Failed, 0, nil)
 		}
 		time.Sleep(time.Minute)
 		e.core.Stop()
 		e.ln.Close()
 		for _, r := range e.engine.seen() {
-			e.core.Ended(r.id, silverpath.Failed, 0, nil)
+			e.worker.Ended(r.id, silverpath.Failed, 0, nil)
 		}
 	}()
 	test(e)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -17,6 +17,7 @@
 
 	"silverpath/internal/announce"
 	"silverpath/internal/core"
+	"silverpath/internal/fleet"
 	"silverpath/internal/front"
 	"silverpath/internal/interp"
 	"silverpath/internal/msgpackrpc"
@@ -56,7 +57,7 @@
 	if c.Listen == "" {
 		b.Platform, b.SCGI = 0, n*3/5
 	}
-	if c.SCGI.Upstream != "" {
+	if c.SCGI.Upstream != "" || c.Edge.Fleet != nil {
 		b.Upstream = n * 2 / 5
 	} else if c.Vault != "" {
 		b.Vault = n * 2 / 5
@@ -75,6 +76,7 @@
 	agent     *snmp.Agent
 	link      *interp.Link         // nil where an application server does the work
 	below     *vault.Client        // likewise
+	fleet     *fleet.Runner        // nil but in a router
 	worker    *standin.Interpreter // nil but in a start without a configuration
 	reporter  *announce.Reporter   // reports nowhere while its address is empty
 	lead      time.Duration        // from the notice to leave until peers are asked to leave too
@@ -91,7 +93,7 @@
 	var err error
 	s.core, err = core.New(core.Config{
 		Name: cfg.Name, Settings: cfg.Server, MemoryMB: cfg.MemoryMB, Status: cfg.Edge.Status, Log: l, Stats: s.stats,
-		Pools: poolsOf(cfg),
+		Pools: poolsOf(cfg), Cell: cfg.Edge.Cell,
 	})
 	if err != nil {
 		return nil, err
@@ -106,17 +108,25 @@
 	}
 	b := budget(cfg)
 	var runner core.Runner
-	if cfg.SCGI.Upstream != "" {
+	switch {
+	case cfg.Edge.Fleet != nil:
+		if s.fleet, err = router(cfg, b.Upstream, s.core, l, s.stats); err != nil {
+			return nil, err
+		}
+		s.core.Tells("fleet", s.fleet.Status)
+		s.keep = append(s.keep, s.fleet.Keep)
+		runner = s.fleet
+	case cfg.SCGI.Upstream != "":
 		up := scgi.NewUpstream(cfg.SCGI.Upstream, cfg.Server.Cores, b.Upstream, cfg.SCGI.Timeout, s.core, l, s.stats)
 		s.keep = append(s.keep, up.Keep)
 		runner = up
-	} else {
+	default:
 		s.link = interp.New(cfg.VM, cfg.Gauges, s.core, l, s.stats)
 		s.keep = append(s.keep, s.link.Keep)
 		runner = s.link
 	}
 	var below core.Caller
-	if cfg.Vault != "" && cfg.SCGI.Upstream == "" {
+	if cfg.Vault != "" && s.link != nil {
 		s.below = vault.New(cfg.Vault, b.Vault)
 		below = s.below
 	}
@@ -181,6 +191,9 @@
 			s.cfg.Edge.Pools = cfg.Edge.Pools
 		}
 	}
+	if s.fleet != nil {
+		s.fleet.Reload()
+	}
 	s.stats.Inc("reloads", "done")
 	s.log.Printf("reload: done")
 }
@@ -216,6 +229,22 @@
 	}
 }
 
+// router returns the runner of a router.
+func router(cfg settings.Config, sockets int, c *core.Core, l *log.Logger, s *stats.Counters) (*fleet.Runner, error) {
+	set := cfg.Edge.Fleet
+	src, err := fleet.OpenFile(set.Map, set.State)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.state: %w", err)
+	}
+	r := set.Routing
+	r.Seed = uint64(cfg.Seed)
+	f, err := fleet.New(fleet.Config{Source: src, Routing: r, Cores: cfg.Server.Cores, Probe: set.Probe, Sockets: sockets}, c, l, s)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.map: %w", err)
+	}
+	return f, nil
+}
+
 // worker starts the built-in worker: an interpreter whose work takes as long as the operators' own typically does.
 func worker(cfg settings.Config) (*standin.Interpreter, error) {
 	n := cfg.Server.Cores
@@ -368,7 +397,7 @@
 		most       int
 	}{
 		{"MessagePack-RPC front", c.Listen, b.Platform}, {"SCGI front", c.SCGI.Listen, b.SCGI},
-		{"interpreter", c.VM, 1}, {"SCGI application server", c.SCGI.Upstream, b.Upstream},
+		{"interpreter", c.VM, 1}, {"fleet", fleetOf(c), b.Upstream}, {"SCGI application server", c.SCGI.Upstream, b.Upstream},
 		{"vault", c.Vault, b.Vault}, {"announce service", c.Announce, 1}, {"SNMP agent", c.SNMP.Listen, 1},
 	} {
 		if part.addr == "" {
@@ -380,6 +409,14 @@
 	return s + describeEdge(c.Edge)
 }
 
+// fleetOf is the file that a router has its map from.
+func fleetOf(c settings.Config) string {
+	if c.Edge.Fleet == nil {
+		return ""
+	}
+	return c.Edge.Fleet.Map
+}
+
 // describeEdge says what an edge file sets up.
 func describeEdge(e settings.Edge) string {
 	if !e.On {
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -54,12 +54,17 @@
 }
 
 // Load reads the configuration file and lets LB_NAME and LB_LISTEN stand in for what it leaves out.
-func Load(path string) (Config, error) {
+func Load(path string) (Config, error) { return load(path, false) }
+
+// LoadRouter reads the configuration file of a router, which has no interpreter.
+func LoadRouter(path string) (Config, error) { return load(path, true) }
+
+func load(path string, router bool) (Config, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
 	}
-	c, err := ParseConfig(data, os.Getenv("LB_NAME"), os.Getenv("LB_LISTEN"))
+	c, err := parseConfig(data, os.Getenv("LB_NAME"), os.Getenv("LB_LISTEN"), router)
 	if err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
@@ -68,6 +73,10 @@
 
 // ParseConfig reads a configuration; name and listen stand in for what it leaves out.
 func ParseConfig(data []byte, name, listen string) (Config, error) {
+	return parseConfig(data, name, listen, false)
+}
+
+func parseConfig(data []byte, name, listen string, router bool) (Config, error) {
 	v, err := fastjson.ParseBytes(data)
 	if err != nil {
 		return Config{}, fmt.Errorf("not JSON: %w", err)
@@ -109,16 +118,16 @@
 	if c.Listen == "" {
 		c.Listen = listen
 	}
-	return c, c.complete(v)
+	return c, c.complete(v, router)
 }
 
 // complete sets defaults and names the first field that no service can do with.
-func (c *Config) complete(v *fastjson.Value) error {
+func (c *Config) complete(v *fastjson.Value, router bool) error {
 	for _, a := range []struct {
 		field, addr string
 		required    bool
 	}{
-		{"listen", c.Listen, c.SCGI.Listen == ""}, {"vm", c.VM, c.SCGI.Upstream == ""},
+		{"listen", c.Listen, c.SCGI.Listen == ""}, {"vm", c.VM, c.SCGI.Upstream == "" && !router},
 		{"announce", c.Announce, false}, {"vault", c.Vault, false},
 		{"scgi.listen", c.SCGI.Listen, false}, {"scgi.upstream", c.SCGI.Upstream, false},
 		{"snmp.listen", c.SNMP.Listen, false},
@@ -188,8 +197,8 @@
 		{"vm", (c.VM == "") == (d.VM == "")}, {"vault", (c.Vault == "") == (d.Vault == "")},
 		{"limits", c.MemoryMB == d.MemoryMB && c.Sockets == d.Sockets},
 		{"scgi", c.SCGI == d.SCGI}, {"snmp", c.SNMP == d.SNMP},
-		{"edge", c.Edge.On == d.Edge.On && c.Edge.Status == d.Edge.Status && c.Edge.PoolsOn() == d.Edge.PoolsOn() &&
-			reflect.DeepEqual(c.Edge.Reserve, d.Edge.Reserve)},
+		{"edge", c.Edge.On == d.Edge.On && c.Edge.Status == d.Edge.Status && c.Edge.Cell == d.Edge.Cell && c.Edge.PoolsOn() == d.Edge.PoolsOn() &&
+			reflect.DeepEqual(c.Edge.Reserve, d.Edge.Reserve) && reflect.DeepEqual(c.Edge.Fleet, d.Edge.Fleet)},
 		{"settings", reflect.DeepEqual(unseeded(c.Server), unseeded(d.Server)) && slices.Equal(c.Gauges, d.Gauges)},
 	} {
 		if !f.same {
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -5,19 +5,31 @@
 	"fmt"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/valyala/fastjson"
 
 	"silverpath"
 	"silverpath/internal/pools"
+	"silverpath/internal/routing"
 )
 
 // Edge sets up what goes beyond the platform, from a file of the operator's own. The zero value is all off.
 type Edge struct {
 	On      bool // an edge file was given
 	Status  bool // fronts answer status requests
+	Cell    bool // serves in a cell, behind routers: see docs/cells.md
 	Pools   pools.Config
 	Reserve *pools.ReserveConfig // nil: none
+	Fleet   *Fleet               // nil: it is no router
+}
+
+// Fleet sets up a router: see docs/cells.md.
+type Fleet struct {
+	Map     string // the file with the cell map
+	State   string // the file that keeps the last good map over a restart; empty: none
+	Probe   time.Duration
+	Routing routing.Config
 }
 
 // PoolsOn reports whether there are pools.
@@ -47,11 +59,12 @@
 		return Edge{}, errors.New("not a JSON object")
 	}
 	f := fields{"", v, &err}
-	f.only("status", "pools", "limit", "memory", "reserve")
+	f.only("status", "cell", "pools", "limit", "memory", "reserve", "fleet")
 	e := Edge{On: true, Status: true}
 	if v.Exists("status") {
 		e.Status = f.flag("status")
 	}
+	e.Cell = f.flag("cell")
 	f.each("pools", func(_ int, p fields) {
 		p.only("name", "classes", "weight", "floor")
 		set := pools.Pool{Name: p.text("name"), Weight: p.number("weight"), Floor: p.number("floor")}
@@ -83,6 +96,7 @@
 			Each: reserve.number("cheap_each_per_s"),
 		}
 	}
+	e.Fleet = readFleet(f.object("fleet"))
 	switch {
 	case err != nil:
 		return e, err
@@ -100,6 +114,36 @@
 	return e, nil
 }
 
+func readFleet(f fields) *Fleet {
+	if f.v == nil {
+		return nil
+	}
+	f.only("map", "state", "probe_ms", "retries", "hedges", "most_out", "panic", "slow_start_ms")
+	set := &Fleet{
+		Map: f.text("map"), State: f.text("state"), Probe: time.Duration(f.integer("probe_ms")) * time.Millisecond,
+		Routing: routing.Config{
+			Retries: f.number("retries"), Hedges: f.number("hedges"), MostOut: f.number("most_out"), Panic: f.number("panic"),
+			SlowStart: time.Duration(f.integer("slow_start_ms")) * time.Millisecond,
+		},
+	}
+	if set.Map == "" {
+		f.fail("map", "missing")
+	}
+	for key, v := range map[string]float64{"retries": set.Routing.Retries, "hedges": set.Routing.Hedges,
+		"most_out": set.Routing.MostOut, "panic": set.Routing.Panic} {
+		if !(v >= 0 && v <= 1) {
+			f.fail(key, "not from 0 to 1: %v", v)
+		}
+	}
+	if set.Probe < 0 || set.Routing.SlowStart < 0 {
+		f.fail("probe_ms", "it or slow_start_ms is negative")
+	}
+	if set.Probe == 0 {
+		set.Probe = 500 * time.Millisecond
+	}
+	return set
+}
+
 // only names the first member of an object that is not one of those given.
 func (f fields) only(known ...string) {
 	if f.v == nil {
