A router refuses no sheet by itself, and a reserve keeps no sheet out

Seen while reading: a router's own bounds, or the reserve of a front, would have refused the repeat of a sheet that had run by another way. Change: a router fails such a sheet but in its drain, where it sends callers to another router; fronts read sheets on any connection. The quantile for second copies is taken anew only every 32 answers.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -129,6 +129,7 @@
 
 	tellStatus bool
 	cell       bool
+	blind      bool                     // hands requests on: another router may have handed on a try of the same sheet
 	extra      map[string]func() []byte // further parts of the status, JSON each
 	doors      map[string]*door         // of the classes that need not be read in full to be refused; set up by New
 	shutWait   time.Duration
@@ -196,6 +197,7 @@
 // where nothing lies below.
 func (c *Core) Attach(r Runner, below Caller) error {
 	c.runner, c.caller = r, below
+	_, c.blind = r.(Forwarder)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m, err := silverpath.New(c.clock(), c.set, (*host)(c))
@@ -383,6 +385,10 @@
 
 func (h *host) Refuse(id string, after time.Duration, final bool) {
 	h.later(id, func(c *Core, t *task) {
+		if c.blind && t.sheet() && c.phase < Draining { // it may have run, by a try that came another way: only its home can tell
+			c.answer(t, Answer{Outcome: Failed})
+			return
+		}
 		if t.ran { // a run is never refused; the module keeps to this, so the line should not be seen
 			c.log.Printf("guard: refusal of %s, which has run, goes out as a failure", id)
 			c.answer(t, Answer{Outcome: Failed})
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -41,6 +41,9 @@
 	bell chan struct{} // rung when mail comes
 }
 
+// sheet reports whether further tries of the request may come that are one request with it.
+func (t *task) sheet() bool { return t.class.Effect == silverpath.Keyed && t.Key != "" }
+
 // step is what a request's goroutine does next.
 type step struct {
 	kind     stepKind
@@ -162,6 +165,9 @@
 		why, full = "due", Answer{Outcome: Expired}
 		c.release(t)
 	}
+	if why != "" && full.Outcome == Refused && c.blind && t.sheet() && c.phase < Draining {
+		full = Answer{Outcome: Failed}
+	}
 	if why != "" {
 		c.stats.Inc("turned_away", r.Front, why)
 		c.stats.Inc("answered", r.Front, name, full.Outcome.String())
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"silverpath"
 	"silverpath/internal/buf"
 	"silverpath/internal/core"
 	"silverpath/internal/front"
@@ -140,7 +141,8 @@
 		c.reply(m.id, c.refusal)
 		return nil
 	}
-	if !c.slot.Work() { // what is left of the connections is for what is cheap
+	if k, _ := c.core.Class(m.method); !c.slot.Work() && k.Effect != silverpath.Keyed {
+		// What is left of the connections is for what is cheap, and a sheet may be: the repeat of one that has run.
 		c.stats.Inc("turned_away", Name, "reserve")
 		c.reply(m.id, core.Answer{Outcome: core.Refused, Wait: c.core.Advice()})
 		c.lastCall()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -110,6 +110,8 @@
 	hedges  budget
 	reads   []float64 // seconds, a ring
 	next    int
+	sampled int           // since hedgeAt was taken
+	hedgeAt time.Duration // the quantile
 	counts  Counts
 }
 
@@ -273,6 +275,7 @@
 }
 
 func (t *Table) sample(seconds float64) {
+	t.sampled++
 	if len(t.reads) < samples {
 		t.reads = append(t.reads, seconds)
 		return
@@ -511,9 +514,13 @@
 	if len(t.reads) < samples/4 {
 		return 0, false
 	}
-	all := slices.Clone(t.reads)
-	slices.Sort(all)
-	return time.Duration(all[int(hedgeQuantile*float64(len(all)-1))] * float64(time.Second)), true
+	if t.sampled >= samples/8 {
+		all := slices.Clone(t.reads)
+		slices.Sort(all)
+		t.hedgeAt = time.Duration(all[int(hedgeQuantile*float64(len(all)-1))] * float64(time.Second))
+		t.sampled = 0
+	}
+	return t.hedgeAt, true
 }
 
 // Hedge reports whether a second copy of a safe read may be sent.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -244,6 +244,21 @@
 	}
 }
 
+// A second copy goes out later than nearly all first ones have been answered.
+func TestHedgeAfter(t *testing.T) {
+	tb, _ := table(1, Config{})
+	if _, known := tb.HedgeAfter(); known {
+		t.Error("known without an answer")
+	}
+	for i := range 200 {
+		tb.Sent("s0")
+		tb.Ended(time.Hour, "s0", Served, time.Duration(i+1)*time.Millisecond, true)
+	}
+	if after, known := tb.HedgeAfter(); !known || after < 180*time.Millisecond || after > 195*time.Millisecond {
+		t.Errorf("%v, %v", after, known)
+	}
+}
+
 // Over random events nothing in flight goes negative, what is picked is among those asked for and never the one left
 // out, and budgets hold.
 func TestProperties(t *testing.T) {
--- a/internal/scgi/front.go
+++ b/internal/scgi/front.go
@@ -98,7 +98,8 @@
 	if err == nil {
 		if class, known := f.class(m.headers); known {
 			a, refused := f.core.Shut(Name, class.Name)
-			if !refused && !slot.Work() { // what is left of the connections is for what is cheap
+			if !refused && !slot.Work() && class.Effect != silverpath.Keyed {
+				// What is left of the connections is for what is cheap, and a sheet may be: the repeat of one that has run.
 				f.stats.Inc("turned_away", Name, "reserve")
 				a, refused = core.Answer{Outcome: core.Refused, Wait: f.core.Advice()}, true
 			}
