--- a/cmd/silverpath/fleet_test.go
+++ b/cmd/silverpath/fleet_test.go
@@ -245,6 +245,9 @@
 	mu.Unlock()
 	time.Sleep(200 * time.Millisecond)
 	servers["s1"] = spawn(t, "serve", "--config", files["s1"], "--edge", cellEdge, "--listen", servers["s1"].addr)
+	for _, name := range []string{"s3", "s4"} { // the target can't carry it after all
+		machines[name].Play([]standin.Trouble{{Speed: 0.2, For: 3 * time.Second}})
+	}
 	command("abort", "--tenant", "brand")
 	time.Sleep(4 * time.Second)
 	close(stop)
@@ -273,3 +276,42 @@
 	}
 	t.Logf("%v, %d sheets ran", count, len(runs))
 }
+
+// The commands on a map: what they say, and that what can't be done ends with 1 and one line.
+func TestCells(t *testing.T) {
+	data, err := os.ReadFile("../../deploy/cells.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := write(t, "cells.json", string(data))
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"show"}, 0, "kvizmojster     a     settled"},
+		{[]string{"show", "--json"}, 0, `"tenant": "kvizmojster"`},
+		{[]string{"check"}, 0, "ok, version 1, 2 cells, 4 servers, 4 tenants"},
+		{[]string{"plan", "--tenant", "kvizmojster", "--to", "b"}, 1, "cell b can't carry it"},
+		{[]string{"plan", "--tenant", "nobody", "--to", "b"}, 1, `tenant "nobody" is not in the map`},
+		{[]string{"abort", "--tenant", "kvizmojster"}, 1, "no move to abort"},
+		{[]string{"plan", "--tenant", "krcmarski-kviz", "--to", "b", "--shard", "2", "--json"}, 0, `"shard": 2`},
+		{[]string{"move", "--tenant", "krcmarski-kviz", "--to", "b", "--shard", "2"}, 0, "version 2 written"},
+		{[]string{"move", "--tenant", "krcmarski-kviz", "--to", "a"}, 1, "a move is prepared"},
+		{[]string{"check", "--after", "../../deploy/cells.json"}, 0, `tenant "krcmarski-kviz": to cell b at`},
+		{[]string{"abort", "--tenant", "krcmarski-kviz"}, 0, "version 3 written"},
+		{[]string{"check", "--after", "nothing.json"}, 1, "nothing.json"},
+		{[]string{"nonsense"}, 1, "one of show, plan, move, abort, check"},
+	} {
+		code, out, message := run(t, "", append([]string{"cells", "--map", file}, c.args...)...)
+		if code != c.code || !strings.Contains(out+message, c.want) || c.code != 0 && strings.Count(message, "\n") != 1 {
+			t.Errorf("cells %v: exit code %d, %q, %q", c.args, code, out, message)
+		}
+	}
+	if code, _, message := run(t, "", "route", "--config", "../../deploy/router.json"); code != 1 || !strings.Contains(message, "no fleet") {
+		t.Errorf("a router without a fleet: %d, %q", code, message)
+	}
+	if code, out, message := run(t, "", "check", "--config", "../../deploy/scgi.json", "--edge", "../../deploy/route.json"); code != 0 || !strings.Contains(out, "fleet: deploy/cells.json") {
+		t.Errorf("check of a router's edge file: %d, %q, %q", code, out, message)
+	}
+}
--- a/internal/lab/cells_test.go
+++ b/internal/lab/cells_test.go
@@ -141,7 +141,7 @@
 		if twice > 0 {
 			b.Errorf("%d sheets ran twice", twice)
 		}
-		b.ReportMetric(float64(twice), "twice-"+fmt.Sprint(c.move, c.kill))
+		b.ReportMetric(float64(twice), fmt.Sprintf("twice-%v-%v", c.move, c.kill))
 		f.Stop()
 	}
 }
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -186,14 +186,7 @@
 					return
 				}
 				time.Sleep(time.Until(at))
-				pick, share := rng.Float64(), Shares[len(Shares)-1]
-				for _, s := range Shares {
-					if pick < s.Part {
-						share = s
-						break
-					}
-					pick -= s.Part
-				}
+				share := draw(rng)
 				q := ask.Request{Class: share.Class, Tenant: l.Tenant, Wait: patience, HeldKB: 8, Body: fmt.Appendf(nil, "%s-%s-%d", share.Class, l.Tenant, seq)}
 				if share.Class == "oddaja" {
 					q.Key = fmt.Sprintf("%s-%d", l.Tenant, seq)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -100,6 +100,7 @@
 		args = append(args, "--edge", p.edge)
 	}
 	p.cmd = exec.Command(bin, args...)
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it does not outlive the lab
 	errs, err := p.cmd.StderrPipe()
 	if err != nil {
 		return nil, err
@@ -201,6 +202,18 @@
 // Shares are those of the operators' site.
 var Shares = []Share{{"lestvica", 0.36, 1}, {"krog", 0.34, 2}, {"oddaja", 0.30, 3}}
 
+// draw draws a class by the shares.
+func draw(rng *rand.Rand) Share {
+	pick := rng.Float64()
+	for _, s := range Shares[:len(Shares)-1] {
+		if pick < s.Part {
+			return s
+		}
+		pick -= s.Part
+	}
+	return Shares[len(Shares)-1]
+}
+
 const (
 	aim      = 1800 * time.Millisecond
 	patience = 4400 * time.Millisecond
@@ -265,14 +278,7 @@
 			break
 		}
 		time.Sleep(time.Until(at))
-		pick, share := rng.Float64(), Shares[len(Shares)-1]
-		for _, s := range Shares {
-			if pick < s.Part {
-				share = s
-				break
-			}
-			pick -= s.Part
-		}
+		share := draw(rng)
 		q := ask.Request{
 			Class: share.Class, Wait: patience, HeldKB: l.HeldKB, ID: fmt.Sprintf("%016x", seq+1),
 			Body: fmt.Appendf(nil, "%s-%d", share.Class, seq),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -109,6 +109,10 @@
 		{`"tight":0.5`, `"tight":1.5`, "memory.tight"},
 		{`"cheap_per_s":100`, `"cheap_per_s":0.5`, "reserve.cheap_per_s"},
 		{`"limit"`, `"status":1,"limit"`, "status: neither true nor false"},
+		{`"limit"`, `"fleet":{"probe_ms":5},"limit"`, "fleet.map: missing"},
+		{`"limit"`, `"fleet":{"map":"x","retries":2},"limit"`, "fleet.retries: not from 0 to 1: 2"},
+		{`"limit"`, `"fleet":{"map":"x","speed":2},"limit"`, "fleet.speed: unknown"},
+		{`"limit"`, `"cell":1,"limit"`, "cell: neither true nor false"},
 		{good[1:strings.Index(good, `"limit"`)], "", "pools: none, but a limit or a memory is set up"},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
