--- a/shedder.go
+++ b/shedder.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// Shed reports that so many requests of a class were turned away unread, as those just before them had been here.
+// Shed reports that so many requests of a class were turned away unread, as those just before them had been.
 func (s *Shedder) Shed(now time.Duration, class string, n int) {
 	s.at(now)
 	if c := s.byName[class]; c != nil && n > 0 {
