--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -57,16 +57,16 @@
 			}
 			s.conns = nil
 			s.mu.Unlock()
-			s.core.Ended(id, silverpath.Failed, takes, nil)
+			s.now().Ended(id, silverpath.Failed, takes, nil)
 		case fails:
-			s.core.Ended(id, silverpath.Failed, takes, nil)
+			s.now().Ended(id, silverpath.Failed, takes, nil)
 		default:
-			s.core.Ended(id, silverpath.OK, takes, append([]byte("done "), body...))
+			s.now().Ended(id, silverpath.OK, takes, append([]byte("done "), body...))
 		}
 	})
 }
 func (s *server) Resume(string, []byte) {}
-func (s *server) Probe()                { s.core.Gauges(silverpath.Gauges{}) }
+func (s *server) Probe()                { s.now().Gauges(silverpath.Gauges{}) }
 
 func (s *server) ran() int {
 	s.mu.Lock()
@@ -82,15 +82,25 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.core, s.pipe, s.down = c, pipes.Listen(), false
+	pipe := pipes.Listen()
+	s.mu.Lock()
+	s.core, s.pipe, s.down = c, pipe, false
+	s.mu.Unlock()
 	if err := c.Attach(s, nil); err != nil {
 		t.Fatal(err)
 	}
 	c.Up()
-	s.ln = front.New("s", s.pipe, 100, c.IdleAfter, msgpackrpc.New(c, quiet, counters).Serve, quiet, counters)
+	s.ln = front.New("s", pipe, 100, c.IdleAfter, msgpackrpc.New(c, quiet, counters).Serve, quiet, counters)
 	go s.ln.Serve()
 }
 
+// now is the core that the server has at present.
+func (s *server) now() *core.Core {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core
+}
+
 func (s *server) kill() {
 	s.mu.Lock()
 	s.down = true
@@ -99,7 +109,7 @@
 	}
 	s.conns = nil
 	s.mu.Unlock()
-	s.core.Stop()
+	s.now().Stop()
 	s.ln.Close()
 }
 
@@ -143,7 +153,10 @@
 	seq     int
 }
 
-func play(t *testing.T, n int, test func(l *lab)) {
+func play(t *testing.T, n int, test func(l *lab)) { probing(t, n, 500*time.Millisecond, test) }
+
+// probing plays with so long between two probes of a server.
+func probing(t *testing.T, n int, every time.Duration, test func(l *lab)) {
 	synctest.Test(t, func(t *testing.T) {
 		l := &lab{t: t, router: &router{ends: map[string]core.Answer{}}, stats: &stats.Counters{}}
 		m := &cells.Map{Version: 1, Window: 10 * time.Second, Lease: time.Hour, Patient: 4 * time.Second,
@@ -156,7 +169,7 @@
 		}
 		var err error
 		l.runner, err = New(Config{
-			Source: fixedMap{m}, Cores: 100, Probe: 500 * time.Millisecond, Sockets: 50, Routing: routing.Config{Retries: 1, Hedges: 1, Seed: 3},
+			Source: fixedMap{m}, Cores: 100, Probe: every, Sockets: 50, Routing: routing.Config{Retries: 1, Hedges: 1, Seed: 3},
 			Dial: func(_ context.Context, addr string) (*msgpackrpc.Conn, error) {
 				s := l.servers[addr[0]-'0']
 				s.mu.Lock()
@@ -309,9 +322,7 @@
 
 // The same when the router has not noticed yet: what is meant for the start that it knows is refused by the next.
 func TestHomeRestartsUnseen(t *testing.T) {
-	play(t, 1, func(l *lab) {
-		l.runner.cfg.Probe = time.Hour
-		time.Sleep(time.Second) // the last probe is over
+	probing(t, 1, time.Hour, func(l *lab) {
 		l.ask("sheet", "k")
 		before := l.runs()
 		l.servers[0].kill()
