A sheet without a key runs once through a router; sheets keep large bodies while memory is short

While memory was short a sheet's large body got 413, also where it had run. A shut door advised the longest wait instead of what the module had just said. A connection could carry more than 32 requests, servers gone from the map kept theirs, and the kept map was parsed at every refresh. Change: only safe classes are retried and copied; keyed bodies are read whatever the memory; doors repeat the module's latest refusal; the bound of 32 is kept where a request is sent.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -132,9 +132,8 @@
 	blind      bool                     // hands requests on: another router may have handed on a try of the same sheet
 	extra      map[string]func() []byte // further parts of the status, JSON each
 	doors      map[string]*door         // of the classes that need not be read in full to be refused; set up by New
-	shutWait   time.Duration
-	locked     *stats.Timing // waits for the lock
-	decided    *stats.Timing // the module's decisions, under the lock
+	locked     *stats.Timing            // waits for the lock
+	decided    *stats.Timing            // the module's decisions, under the lock
 
 	mu        sync.Mutex
 	module    *silverpath.Shedder
@@ -182,7 +181,7 @@
 		if c.guard, err = newGuard(*cfg.Pools, cfg.MemoryMB); err != nil {
 			return nil, err
 		}
-		c.doors, c.shutWait, c.saidLimit = map[string]*door{}, cfg.Settings.MaxAdvice, 1
+		c.doors, c.saidLimit = map[string]*door{}, 1
 		for _, k := range set.Classes {
 			if k.Effect == silverpath.Safe && (set.FreshFor == 0) {
 				c.doors[k.Name] = &door{}
--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -53,9 +53,9 @@
 // door is one class's door, beside what who is turned away there is told.
 type door struct {
 	pools.Door
-	answer Answer
-	shut   atomic.Int64 // nanoseconds of the core's clock until which it is; read without the lock
-	turned atomic.Int64 // since the module last heard
+	answer atomic.Pointer[Answer] // the module's latest refusal
+	shut   atomic.Int64           // nanoseconds of the core's clock until which it is; read without the lock
+	turned atomic.Int64           // since the module last heard
 }
 
 // Shut reports whether a request of a class is to be turned away before it is read in full, and with which answer. It
@@ -68,7 +68,7 @@
 	}
 	d.turned.Add(1)
 	c.stats.Inc("unread", front, class)
-	return Answer{Outcome: Refused, Wait: c.shutWait, Final: true}, true
+	return *d.answer.Load(), true
 }
 
 // knock tells a door what the module has said to an arrival.
@@ -78,7 +78,8 @@
 		return
 	}
 	now := c.clock()
-	if t.word == answered && !t.ran && !t.joining {
+	if a, refused := t.refusal(); refused {
+		d.answer.Store(&a)
 		d.Refused(now)
 	} else {
 		d.Taken()
@@ -86,6 +87,14 @@
 	d.shut.Store(int64(d.Until()))
 }
 
+// refusal is the answer by which a request was turned away, if it was.
+func (t *task) refusal() (Answer, bool) {
+	if n := len(t.mail); n > 0 && t.mail[n-1].kind == toAnswer && t.mail[n-1].answer.Outcome == Refused {
+		return t.mail[n-1].answer, true
+	}
+	return Answer{}, false
+}
+
 // watch keeps what operators see of the pools, tells the module who was turned away unread, and logs what changed. It
 // is called under the lock, at every tick.
 func (c *Core) watch() {
--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -112,7 +112,8 @@
 		}
 		synctest.Wait()
 		a, shut := c.Shut("test", "lestvica")
-		if !shut || a.Outcome != Refused || a.Wait != time.Second {
+		want := <-refused // who is turned away unread hears what the module said to those just before
+		if !shut || a.Outcome != Refused || a.Wait != want.Wait || a.Final != want.Final || a.Wait <= 0 {
 			t.Errorf("%+v, %v after %d refusals", a, shut, len(refused))
 		}
 		if _, shut := c.Shut("test", "oddaja"); shut {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,9 +108,16 @@
 	for _, s := range m.Servers {
 		weights[s.Name] = s.Weight
 		if p := r.peers[s.Name]; p == nil || p.addr != s.Addr {
+			p.close()
 			r.peers[s.Name] = &peer{name: s.Name, addr: s.Addr, room: r.room, dial: r.cfg.Dial}
 		}
 	}
+	for name, p := range r.peers {
+		if m.Server(name) == nil {
+			p.close()
+			delete(r.peers, name)
+		}
+	}
 	r.table.Members(r.clock(), weights)
 	r.cells.Store(&view{m, read})
 }
@@ -266,10 +273,10 @@
 		return r.failed("stale_map") // it may have been moved, and run elsewhere
 	case keyed:
 		return r.sheet(q, m, route)
-	case class.Effect == silverpath.Unsafe:
-		return r.effect(q, route)
 	}
-	return r.read(q, route)
+	// A keyed class's request without a key can't be told from another one: it is tried elsewhere only on proof, like
+	// whatever must run at most once.
+	return r.tries(q, route, class.Effect == silverpath.Safe)
 }
 
 // admit reports whether a tenant may send one more request into its cell.
@@ -357,14 +364,8 @@
 	return r.table.Home(r.clock(), name)
 }
 
-// effect brings a request that must run at most once to one server, and to another only on proof that it never ran.
-func (r *Runner) effect(q core.Request, route cells.Route) core.Answer {
-	return r.tries(q, route, false)
-}
-
-// read brings a safe request to a server, with a second copy where the first takes longer than nearly all do.
-func (r *Runner) read(q core.Request, route cells.Route) core.Answer { return r.tries(q, route, true) }
-
+// tries brings a request that has no home to a server. A safe one that fails is tried elsewhere, and gets a second copy where
+// the first takes longer than nearly all do; any other goes elsewhere only on proof that it never ran.
 func (r *Runner) tries(q core.Request, route cells.Route, safe bool) core.Answer {
 	r.mu.Lock()
 	r.table.First(r.clock())
@@ -504,11 +505,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range r.peers {
-		p.mu.Lock()
-		for _, c := range p.conns {
-			c.Close()
-		}
-		p.mu.Unlock()
+		p.close()
 	}
 }
 
@@ -535,6 +532,20 @@
 	conns []*msgpackrpc.Conn
 }
 
+// close closes the connections and gives their places back; there may be no peer.
+func (p *peer) close() {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.Close()
+		<-p.room
+	}
+	p.conns = nil
+}
+
 // conn returns a connection with room for one more request, a new one where there is none.
 func (p *peer) conn(ctx context.Context) (*msgpackrpc.Conn, error) {
 	p.mu.Lock()
@@ -577,13 +588,17 @@
 // send sends a try and waits for its end. Where the connection turns out to be closed as it is written to, the try goes
 // out on a new one: nothing of it was read.
 func (p *peer) send(ctx context.Context, t msgpackrpc.Try) (ending, map[string]string) {
-	for range 2 {
+	for crossed := 0; crossed < 2; {
 		c, err := p.conn(ctx)
 		if err != nil {
 			return ending{outcome: refusing(ctx, err)}, nil
 		}
 		id, reply, err := c.Send(func(id uint64) []byte { return t.Append(nil, id) })
-		if err != nil {
+		switch {
+		case errors.Is(err, msgpackrpc.ErrFull): // others were quicker
+			continue
+		case err != nil:
+			crossed++
 			continue
 		}
 		select {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -246,8 +246,11 @@
 	play(t, 2, func(l *lab) {
 		l.each(func(s *server) { s.cuts = true })
 		before := l.runs()
-		if a := l.ask("pay", ""); a.Outcome != core.Failed || l.runs() != before+1 {
-			t.Errorf("a write whose connection broke: %+v, %d runs", a, l.runs()-before)
+		for _, class := range []string{"pay", "sheet"} { // a sheet without a key is a write like any other
+			if a := l.ask(class, ""); a.Outcome != core.Failed || l.runs() != before+1 {
+				t.Errorf("%s whose connection broke: %+v, %d runs", class, a, l.runs()-before)
+			}
+			before = l.runs()
 		}
 	})
 	play(t, 2, func(l *lab) {
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -65,9 +65,11 @@
 // it, and where the file is no good the router goes on with what it had, known to be the newest when it was last read.
 func (f *File) Load(old *cells.Map) (*cells.Map, time.Time, error) {
 	now := time.Now()
-	kept, read := f.kept()
 	starting := old == nil
+	var kept *cells.Map
+	var read time.Time
 	if starting {
+		kept, read = f.kept()
 		old = kept
 	}
 	m, err := f.parse()
--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -28,6 +28,9 @@
 
 var errBroken = errors.New("the connection is broken")
 
+// ErrFull says that a connection has as many requests open as it may, or was told to bring no more.
+var ErrFull = errors.New("the connection takes no more")
+
 // Dial opens a connection to a service's front.
 func Dial(ctx context.Context, addr string) (*Conn, error) {
 	var d net.Dialer
@@ -56,13 +59,6 @@
 	return usable && len(c.open) < Most, usable
 }
 
-// Idle reports whether nothing is open on the connection.
-func (c *Conn) Idle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.open) == 0
-}
-
 func (c *Conn) read() {
 	r := bufio.NewReader(c.conn)
 	for {
@@ -111,6 +107,10 @@
 		c.mu.Unlock()
 		return 0, nil, errBroken
 	}
+	if c.called || len(c.open) >= Most {
+		c.mu.Unlock()
+		return 0, nil, ErrFull
+	}
 	c.next++
 	id = c.next
 	c.open[id] = ch
--- a/internal/msgpackrpc/conn_test.go
+++ b/internal/msgpackrpc/conn_test.go
@@ -70,6 +70,9 @@
 	if room, usable := c.Room(); room || !usable {
 		t.Errorf("room for request %d", Most+1)
 	}
+	if _, _, err := c.Send(func(uint64) []byte { return nil }); err != ErrFull {
+		t.Errorf("request %d: %v", Most+1, err)
+	}
 	go c.GiveUp(id)
 	if m := s.next(t); m.method != giveUp || m.id != id {
 		t.Errorf("%+v", m)
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -229,7 +229,7 @@
 	reached := time.UnixMilli(stamp)
 	return core.Request{
 		Front: Name, ID: f["i"], Class: m.method, Tenant: f["t"], Key: f["k"], Object: f["o"],
-		Caller: caller, HeldKB: held, Rank: rank, Body: m.body, Known: cell && f["n"] == "1",
+		Caller: caller, HeldKB: held, Rank: rank, Body: m.body, Known: cell && f["n"] == "1" && f["k"] != "",
 		Reached: reached, Due: reached.Add(time.Duration(wait) * time.Millisecond),
 	}, ""
 }
--- a/internal/scgi/front.go
+++ b/internal/scgi/front.go
@@ -96,7 +96,11 @@
 		return
 	}
 	if err == nil {
+		most := f.core.MostBody(f.cfg.MaxBody)
 		if class, known := f.class(m.headers); known {
+			if class.Effect == silverpath.Keyed { // it may be the repeat of a sheet that has run, which is never refused
+				most = f.cfg.MaxBody
+			}
 			a, refused := f.core.Shut(Name, class.Name)
 			if !refused && !slot.Work() && class.Effect != silverpath.Keyed {
 				// What is left of the connections is for what is cheap, and a sheet may be: the repeat of one that has run.
@@ -111,7 +115,7 @@
 				return
 			}
 		}
-		err = m.readBody(r, f.core.MostBody(f.cfg.MaxBody))
+		err = m.readBody(r, most)
 	}
 	if err == nil {
 		var q core.Request
--- a/internal/scgi/scgi_test.go
+++ b/internal/scgi/scgi_test.go
@@ -408,3 +408,45 @@
 		t.Errorf("%d KB were allocated for eight bodies of 60 MB", grown>>10)
 	}
 }
+
+// While memory is short large bodies are turned away, but not those of sheets: a repeat of one that has run is not refused.
+func TestLargeBodiesWhileMemoryIsShort(t *testing.T) {
+	c, err := core.New(core.Config{Settings: site, MemoryMB: 64, Log: log.New(io.Discard, "", 0),
+		Pools: &pools.Config{Pools: []pools.Pool{{Name: "all", Weight: 1}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	started := make(chan string, 10)
+	if err := c.Attach(short{runner{c, started}}, nil); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	f := New(c, settings.SCGI{MaxBody: 64, HeldKB: 1}, 1, log.New(io.Discard, "", 0), &stats.Counters{})
+	ln, err := front.Listen(Name, "127.0.0.1:0", 100, c.IdleAfter, f.Serve, log.New(io.Discard, "", 0), &stats.Counters{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go ln.Serve()
+	defer ln.Close()
+	sheet := AppendRequest(nil, bytes.Repeat([]byte("x"), 60), "PATH_INFO", "/oddaja", "HTTP_IDEMPOTENCY_KEY", "k")
+	go func() { c.Ended(<-started, silverpath.OK, 0, []byte("scored")) }()
+	if a, err := ask(t, ln.Addr().String(), sheet); err != nil || a.Status != 200 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	for deadline := time.Now().Add(20 * time.Second); c.MostBody(64) != 16; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("memory is not short")
+		}
+	}
+	if a, err := ask(t, ln.Addr().String(), AppendRequest(nil, bytes.Repeat([]byte("x"), 60), "PATH_INFO", "/lestvica")); err != nil || a.Status != 413 {
+		t.Errorf("a read: %+v, %v", a, err)
+	}
+	if a, err := ask(t, ln.Addr().String(), sheet); err != nil || a.Status != 200 || string(a.Body) != "scored" {
+		t.Errorf("the repeat of a sheet: %+v, %v", a, err)
+	}
+}
+
+// short is a runner on a machine whose memory is full.
+type short struct{ runner }
+
+func (s short) Probe() { s.core.Gauges(silverpath.Gauges{Memory: 0.85}) }
