The lab's measurements in the lab itself; a drain while shares are lent is tested

Seen in review: two loops for open arrivals were written twice, measurements stood among the tests, and the hard case of a drain while lent shares are out had no test. Change: one loop of arrivals, benchmarks that only name a measurement, and the test.

--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -41,13 +41,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
 		var lines strings.Builder
-		counters := &stats.Counters{}
+		counters, sheet := &stats.Counters{}, keyed
+		sheet.Aim, sheet.Worth = 3*time.Second, 3
 		c, err := New(Config{
 			Name: "n1", Status: true, MemoryMB: 512, Pools: &cfg, Stats: counters,
 			Log: log.New(writer{&mu, &lines}, "", 0),
 			Settings: silverpath.Settings{Cores: 2, MemoryKB: 10000, RunFactor: 4, CrowdLimit: 8, Advice: true,
-				MaxAdvice: time.Second, Classes: []silverpath.Class{
-					{Name: "lestvica", Aim: 500 * time.Millisecond, Deadline: 4 * time.Second, Worth: 1}, keyed}},
+				MaxAdvice: time.Second, DrainGrace: 500 * time.Millisecond, Classes: []silverpath.Class{
+					{Name: "lestvica", Aim: 500 * time.Millisecond, Deadline: 4 * time.Second, Worth: 1}, sheet}},
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -205,3 +206,47 @@
 		}
 	})
 }
+
+// A drain while the share of the sheets is lent out: a sheet that still comes inside the window gets its run as soon as one of
+// the borrowers ends, what comes after the window is not run, and nothing stays unanswered.
+func TestDrainWhileSharesAreLent(t *testing.T) {
+	pooled(t, two(), func(c *Core, r *busyRunner, _ *stats.Counters, _ func() string) {
+		var mu sync.Mutex
+		got := map[string]Outcome{}
+		send := func(id, class string) {
+			ask(c, id, class, func(a Answer) {
+				mu.Lock()
+				defer mu.Unlock()
+				got[id] = a.Outcome
+			})
+			synctest.Wait()
+		}
+		send("a0", "lestvica")
+		send("a1", "lestvica")
+		if p := c.guard.State(c.clock()).Pools; p[1].Used != 2 {
+			t.Fatalf("the borrower has %d of 2 runs", p[1].Used)
+		}
+		c.Drain(5 * time.Second)
+		send("s0", "oddaja")
+		c.Ended("a0", silverpath.OK, time.Millisecond, []byte("x"))
+		synctest.Wait()
+		if p := c.guard.State(c.clock()).Pools; p[0].Used != 1 {
+			t.Errorf("the lender has %d runs once a borrower has ended", p[0].Used)
+		}
+		c.Ended("a1", silverpath.OK, time.Millisecond, []byte("x"))
+		c.Ended("s0", silverpath.OK, time.Millisecond, []byte("x"))
+		time.Sleep(time.Second) // past the window
+		send("s1", "oddaja")
+		mu.Lock()
+		defer mu.Unlock()
+		want := map[string]Outcome{"a0": Served, "a1": Served, "s0": Served, "s1": Refused}
+		for id, o := range want {
+			if got[id] != o {
+				t.Errorf("%s: %v, want %v", id, got[id], o)
+			}
+		}
+		if c.Owed() != 0 {
+			t.Errorf("%d answers are owed", c.Owed())
+		}
+	})
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -177,23 +177,14 @@
 		res := &TenantResult{Times: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
 		results[l.Tenant] = res
 		wg.Go(func() {
-			rng := rand.New(rand.NewPCG(seed, uint64(n)))
-			began, due := time.Now(), 0.0
-			for seq := 0; ; seq++ {
-				due += rng.ExpFloat64() / l.Rate
-				at := began.Add(time.Duration(due * float64(time.Second)))
-				if at.Sub(began) > l.For {
-					return
-				}
-				time.Sleep(time.Until(at))
-				share := draw(rng)
+			arrivals(rand.New(rand.NewPCG(seed, uint64(n))), l.Rate, l.For, func(rng *rand.Rand, seq int, share Share, at time.Time) {
 				q := ask.Request{Class: share.Class, Tenant: l.Tenant, Wait: patience, HeldKB: 8, Body: fmt.Appendf(nil, "%s-%s-%d", share.Class, l.Tenant, seq)}
 				if share.Class == "oddaja" {
 					q.Key = fmt.Sprintf("%s-%d", l.Tenant, seq)
 				}
 				c, other, later := conns[rng.IntN(len(conns))], conns[rng.IntN(len(conns))], time.Duration(rng.Float64()*float64(12*time.Second))
 				wg.Go(func() { res.one(c, other, q, share, at, later, repeats) })
-			}
+			})
 		})
 	}
 	wg.Wait()
--- a/internal/lab/cells_test.go
+++ b/internal/lab/floods.go
@@ -27,7 +27,7 @@
 }
 
 // Cells measures a tenant that floods, a move under fire, and what a router costs.
-func BenchmarkCells(b *testing.B) {
+func Cells(b *testing.B) {
 	bin, err := Build(b.TempDir())
 	if err != nil {
 		b.Fatal(err)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -214,6 +214,20 @@
 	return Shares[len(Shares)-1]
 }
 
+// arrivals calls with every request of an open load, at its time whatever becomes of those before: Poisson, by the shares.
+func arrivals(rng *rand.Rand, rate float64, d time.Duration, one func(rng *rand.Rand, seq int, s Share, at time.Time)) {
+	began, due := time.Now(), 0.0
+	for seq := 0; ; seq++ {
+		due += rng.ExpFloat64() / rate
+		at := began.Add(time.Duration(due * float64(time.Second)))
+		if at.Sub(began) > d {
+			return
+		}
+		time.Sleep(time.Until(at))
+		one(rng, seq, draw(rng), at)
+	}
+}
+
 const (
 	aim      = 1800 * time.Millisecond
 	patience = 4400 * time.Millisecond
@@ -265,20 +279,11 @@
 		defer c.Close()
 		conns = append(conns, c)
 	}
-	rng := rand.New(rand.NewPCG(l.Seed, 3))
 	var wg sync.WaitGroup
 	stop := make(chan struct{})
 	wg.Go(func() { l.cheap(p, res, stop) })
 	began := time.Now()
-	due := 0.0
-	for seq := 0; ; seq++ {
-		due += rng.ExpFloat64() / l.Rate
-		at := began.Add(time.Duration(due * float64(time.Second)))
-		if at.Sub(began) > l.For {
-			break
-		}
-		time.Sleep(time.Until(at))
-		share := draw(rng)
+	arrivals(rand.New(rand.NewPCG(l.Seed, 3)), l.Rate, l.For, func(rng *rand.Rand, seq int, share Share, at time.Time) {
 		q := ask.Request{
 			Class: share.Class, Wait: patience, HeldKB: l.HeldKB, ID: fmt.Sprintf("%016x", seq+1),
 			Body: fmt.Appendf(nil, "%s-%d", share.Class, seq),
@@ -293,7 +298,7 @@
 				l.repeat(conns[seq%peers], q, served, res)
 			}
 		})
-	}
+	})
 	time.Sleep(time.Until(began.Add(l.For)))
 	close(stop)
 	wg.Wait()
--- a/internal/lab/overload_test.go
+++ b/internal/lab/overload.go
@@ -173,7 +173,7 @@
 }
 
 // Overload runs every scenario with pools on, off, and with a limit that knows the point of collapse, side by side.
-func BenchmarkOverload(b *testing.B) {
+func Overload(b *testing.B) {
 	bin, err := Build(b.TempDir())
 	if err != nil {
 		b.Fatal(err)
--- a/internal/lab/refusal_test.go
+++ b/internal/lab/refusal.go
@@ -51,7 +51,7 @@
 
 // Refusal measures the processor time of a refusal and of a cheap call, while every core of the machine is taken by
 // runs that don't end.
-func BenchmarkRefusal(b *testing.B) {
+func Refusal(b *testing.B) {
 	bin, err := Build(b.TempDir())
 	if err != nil {
 		b.Fatal(err)
@@ -127,7 +127,7 @@
 
 // Probes sends 500 connections that only probe, at full speed, at a service under 150% of its capacity, and measures
 // what a quiet peer sees of it.
-func BenchmarkProbes(b *testing.B) {
+func Probes(b *testing.B) {
 	bin, err := Build(b.TempDir())
 	if err != nil {
 		b.Fatal(err)
