--- a/internal/cells/cells_test.go
+++ b/internal/cells/cells_test.go
@@ -1,6 +1,7 @@
 package cells
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"strings"
@@ -10,6 +11,9 @@
 	"pgregory.net/rapid"
 )
 
+// Property tests take the same course every time.
+func init() { flag.Set("rapid.seed", "7"); flag.Set("rapid.nofailfile", "true") }
+
 var t0 = time.UnixMilli(1_800_000_000_000)
 
 // fleet is a map of n servers in three cells, and four brands.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,6 +10,9 @@
 	"pgregory.net/rapid"
 )
 
+// Property tests take the same course every time.
+func init() { flag.Set("rapid.seed", "7"); flag.Set("rapid.nofailfile", "true") }
+
 func table(n int, c Config) (*Table, []string) {
 	c.Window = 13 * time.Second
 	t := New(c)
