Operators call the service: evacuate, rejoin, ready; SIGHUP takes up settings whole

Management front (internal/mgmt). Weighed: net/http (its server buffers, keeps connections and has no bound on them), and calls on the clients' listener (a crowd would keep operators out); rejected. Own parser, 16 connections of its own, the longest unfinished gives way, no lock of the core's.

Phases (internal/phase): one table of six states and five events. Weighed a flag beside the phase; rejected, as SIGTERM amid a drain and a drain before the interpreter is up would be spread over ifs. Asking for what holds already is a yes, so that a call whose answer was lost can be made again.

Retuning: the module hears of it by one event, Retune. Weighed a second module beside the first for new requests (two crowds on the same cores); rejected. A class that stays shares what was seen of it, so requests in hand keep their class and its counts. A file must give every key that the file in force gives; a list of required keys would go stale.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"silverpath"
+	"silverpath/internal/phase"
 	"silverpath/internal/pools"
 	"silverpath/internal/stats"
 )
@@ -81,18 +82,6 @@
 	Call(ctx context.Context, id string, patience time.Duration, body []byte, once bool) (silverpath.Outcome, []byte)
 }
 
-// Phase is a stretch of the service's life. Phases only move forward.
-type Phase int
-
-const (
-	Starting Phase = iota // the interpreter is not up yet
-	Serving
-	Draining // told to leave
-	Stopped  // everything is answered
-)
-
-func (p Phase) String() string { return [...]string{"starting", "serving", "draining", "stopped"}[p] }
-
 const (
 	gaugeWait   = 15 * time.Millisecond // a tick goes on with the last gauges when none come in this time
 	backstop    = 20 * time.Millisecond // before the due time the core answers what the module has not
@@ -118,7 +107,6 @@
 // Core is the service's one object: its phase, the module and all requests in hand.
 type Core struct {
 	name   string
-	set    silverpath.Settings
 	log    *log.Logger
 	stats  *stats.Counters
 	runner Runner
@@ -126,19 +114,20 @@
 	base   time.Time
 	idle   chan struct{} // closed when draining and nothing is owed
 	shown  atomic.Pointer[View]
+	set    atomic.Pointer[silverpath.Settings] // in force; never changed, only replaced
+	state  phases
 
 	tellStatus bool
 	cell       bool
 	blind      bool                     // hands requests on: another router may have handed on a try of the same sheet
 	extra      map[string]func() []byte // further parts of the status, JSON each
-	doors      map[string]*door         // of the classes that need not be read in full to be refused; set up by New
+	doors      atomic.Pointer[doors]    // of the classes that need not be read in full to be refused; nil without pools
 	locked     *stats.Timing            // waits for the lock
 	decided    *stats.Timing            // the module's decisions, under the lock
 
 	mu        sync.Mutex
 	module    *silverpath.Shedder
 	actions   []func() // asked by the module, taken in order once it has returned
-	phase     Phase
 	drainedAt time.Time
 	tasks     map[string]*task
 	owed      int
@@ -156,37 +145,29 @@
 
 // New returns a Core in the phase Starting. Attach gives it its runner before the first request.
 func New(cfg Config) (*Core, error) {
-	// The interpreter's protocol stops no run and goes on without no call, whatever a site would allow.
-	set := cfg.Settings
-	set.Halt = silverpath.HaltNone
-	set.Classes = append([]silverpath.Class(nil), set.Classes...)
-	for i := range set.Classes {
-		set.Classes[i].WithoutCall = 0
-	}
 	c := &Core{
-		name: cfg.Name, tellStatus: cfg.Status, cell: cfg.Cell, set: set, log: cfg.Log, stats: cfg.Stats, base: time.Now(), idle: make(chan struct{}),
+		name: cfg.Name, tellStatus: cfg.Status, cell: cfg.Cell, log: cfg.Log, stats: cfg.Stats, base: time.Now(), idle: make(chan struct{}),
 		tasks: map[string]*task{}, view: View{Health: true},
 		maxTasks: max(64, int(cfg.MemoryMB*1024/2/taskKB)),
 		keys:     newKeyTable(int(cfg.MemoryMB * (1 << 20) / memoryShare)),
 	}
+	set := bounded(cfg.Settings)
+	c.set.Store(&set)
 	if c.stats == nil {
 		c.stats = &stats.Counters{}
 	}
 	if c.log == nil {
 		c.log = log.Default()
 	}
+	c.state.log = c.log
 	c.locked, c.decided = c.stats.Timing("lock_wait"), c.stats.Timing("decide")
 	if cfg.Pools != nil {
 		var err error
 		if c.guard, err = newGuard(*cfg.Pools, cfg.MemoryMB); err != nil {
 			return nil, err
 		}
-		c.doors, c.saidLimit = map[string]*door{}, 1
-		for _, k := range set.Classes {
-			if k.Effect == silverpath.Safe && (set.FreshFor == 0) {
-				c.doors[k.Name] = &door{}
-			}
-		}
+		c.saidLimit = 1
+		c.hang(set)
 	}
 	c.show()
 	return c, nil
@@ -199,7 +180,7 @@
 	_, c.blind = r.(Forwarder)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m, err := silverpath.New(c.clock(), c.set, (*host)(c))
+	m, err := silverpath.New(c.clock(), *c.set.Load(), (*host)(c))
 	if err != nil {
 		return fmt.Errorf("starting the module: %w", err)
 	}
@@ -235,17 +216,6 @@
 
 // ---- Phases ----
 
-// Phase returns the current phase.
-func (c *Core) Phase() Phase { return c.shown.Load().Phase }
-
-func (c *Core) enter(p Phase) {
-	if p > c.phase {
-		c.phase = p
-		c.show()
-		c.log.Printf("phase %v", p)
-	}
-}
-
 // Started is told when that which does the work started, and whether it was cold then.
 func (c *Core) Started(cold bool, ago time.Duration) {
 	c.choose(func(m *silverpath.Shedder, now time.Duration) { m.Started(now, ago, cold) })
@@ -255,17 +225,18 @@
 func (c *Core) Up() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.enter(Serving)
+	c.state.happens(phase.Up)
+	c.show()
 }
 
 // Drain is the notice to leave; the process ends after the given time.
 func (c *Core) Drain(stop time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase >= Draining {
+	if c.state.now().Leaving() {
 		return
 	}
-	c.enter(Draining)
+	c.state.happens(phase.Leave)
 	c.drainedAt = time.Now()
 	c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Drain(now, now+stop) })
 	c.settled()
@@ -278,7 +249,8 @@
 func (c *Core) Stop() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.enter(Stopped)
+	c.state.happens(phase.End)
+	c.show()
 	return c.owed == 0
 }
 
@@ -286,7 +258,7 @@
 func (c *Core) Owed() int { return c.shown.Load().Owed }
 
 func (c *Core) settled() {
-	if c.phase >= Draining && c.owed == 0 {
+	if c.state.now().Leaving() && c.owed == 0 {
 		select {
 		case <-c.idle:
 		default:
@@ -298,7 +270,7 @@
 // ---- What fronts ask ----
 
 // Health is what a health check is told.
-func (c *Core) Health() bool { return c.shown.Load().Health }
+func (c *Core) Health() bool { return c.shown.Load().Health && c.state.now().Healthy() }
 
 // Signal is the value that goes out with answers from now on, and whether there is one.
 func (c *Core) Signal() (float64, bool) {
@@ -322,7 +294,7 @@
 
 // Class returns the settings of a class.
 func (c *Core) Class(name string) (silverpath.Class, bool) {
-	for _, k := range c.set.Classes {
+	for _, k := range c.set.Load().Classes {
 		if k.Name == name {
 			return k, true
 		}
@@ -331,7 +303,7 @@
 }
 
 // Advice is how long a caller is told to stay away where the core refuses without the module.
-func (c *Core) Advice() time.Duration { return c.set.MaxAdvice }
+func (c *Core) Advice() time.Duration { return c.set.Load().MaxAdvice }
 
 // ---- The clock ----
 
@@ -355,7 +327,7 @@
 func (c *Core) tick() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ticking || c.phase == Stopped {
+	if !c.ticking || c.state.now() == phase.Stopped {
 		return
 	}
 	c.ticking = false
@@ -384,7 +356,7 @@
 
 func (h *host) Refuse(id string, after time.Duration, final bool) {
 	h.later(id, func(c *Core, t *task) {
-		if c.blind && t.sheet() && c.phase < Draining { // it may have run, by a try that came another way: only its home can tell
+		if c.blind && t.sheet() && !c.state.now().Leaving() { // it may have run, by a try that came another way: only its home can tell
 			c.answer(t, Answer{Outcome: Failed})
 			return
 		}
--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -58,11 +58,37 @@
 	turned atomic.Int64           // since the module last heard
 }
 
+// doors are the doors by class. A map that is in use is never changed.
+type doors map[string]*door
+
+func (c *Core) allDoors() doors {
+	if d := c.doors.Load(); d != nil {
+		return *d
+	}
+	return nil
+}
+
+func (c *Core) door(class string) *door { return c.allDoors()[class] }
+
+// hang gives every class of the settings its door; those that had one keep it.
+func (c *Core) hang(set silverpath.Settings) {
+	d := doors{}
+	for _, k := range set.Classes {
+		if k.Effect != silverpath.Safe || set.FreshFor != 0 {
+			continue
+		}
+		if d[k.Name] = c.door(k.Name); d[k.Name] == nil {
+			d[k.Name] = &door{}
+		}
+	}
+	c.doors.Store(&d)
+}
+
 // Shut reports whether a request of a class is to be turned away before it is read in full, and with which answer. It
 // takes no lock. The module has decided so for those just before it; a class whose requests may be repeats of one that
 // has run is always read.
 func (c *Core) Shut(front, class string) (Answer, bool) {
-	d := c.doors[class]
+	d := c.door(class)
 	if d == nil || int64(c.clock()) >= d.shut.Load() {
 		return Answer{}, false
 	}
@@ -73,7 +99,7 @@
 
 // knock tells a door what the module has said to an arrival.
 func (c *Core) knock(t *task) {
-	d := c.doors[t.Class]
+	d := c.door(t.Class)
 	if d == nil {
 		return
 	}
@@ -98,7 +124,7 @@
 // watch keeps what operators see of the pools, tells the module who was turned away unread, and logs what changed. It
 // is called under the lock, at every tick.
 func (c *Core) watch() {
-	for class, d := range c.doors {
+	for class, d := range c.allDoors() {
 		if n := d.turned.Swap(0); n > 0 {
 			c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Shed(now, class, int(n)) })
 		}
--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -128,7 +128,7 @@
 		if n := s.Get("unread", "test", "lestvica"); n != 1 {
 			t.Errorf("%d counted", n)
 		}
-		if n := c.doors["lestvica"].turned.Load(); n != 0 {
+		if n := c.allDoors()["lestvica"].turned.Load(); n != 0 {
 			t.Errorf("the module has not heard of %d", n)
 		}
 	})
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"silverpath"
+	"silverpath/internal/phase"
 )
 
 // word is the one state word of a request's answer. It leaves owed once, under the lock, so that there is
@@ -140,13 +141,14 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.locked.Record(now.Sub(began))
-	full := Answer{Outcome: Refused, Wait: c.set.MaxAdvice}
+	set := c.set.Load()
+	full := Answer{Outcome: Refused, Wait: set.MaxAdvice}
 	why := ""
 	t := &task{Request: r, class: k, read: now, bell: make(chan struct{}, 1)}
 	switch {
 	case c.tasks[r.ID] != nil:
 		why, full = "same_id", Answer{Outcome: Invalid}
-	case c.phase == Stopped || c.module == nil:
+	case c.state.now() == phase.Stopped || c.module == nil:
 		why = "stopped"
 	case len(c.tasks) >= c.maxTasks:
 		why = "too_many"
@@ -154,18 +156,18 @@
 		why, full = "unknown_class", Answer{Outcome: Refused, Final: true}
 	case c.foreign(r.Tenant):
 		why, full = "unknown_tenant", Answer{Outcome: Invalid}
-	case !c.keys.enter(t, c.set.FreshFor, now):
+	case !c.keys.enter(t, set.FreshFor, now):
 		why = "keys_full"
 	case t.stranger:
 		why, full = "key_conflict", Answer{Outcome: Invalid}
 	case t.elsewhere != "":
-		why, full = t.elsewhere, Answer{Outcome: Refused, Wait: c.set.MaxAdvice, Why: t.elsewhere}
+		why, full = t.elsewhere, Answer{Outcome: Refused, Wait: set.MaxAdvice, Why: t.elsewhere}
 	case t.repeats == nil && r.Due.Sub(now) <= backstop:
 		// Due as it is read: the module has no tick left to answer it in, and would start it where there is room.
 		why, full = "due", Answer{Outcome: Expired}
 		c.release(t)
 	}
-	if why != "" && full.Outcome == Refused && c.blind && t.sheet() && c.phase < Draining {
+	if why != "" && full.Outcome == Refused && c.blind && t.sheet() && !c.state.now().Leaving() {
 		full = Answer{Outcome: Failed}
 	}
 	if why != "" {
@@ -197,8 +199,8 @@
 
 // foreign reports whether a site that names its tenants does not know this one.
 func (c *Core) foreign(tenant string) bool {
-	return tenant != "" && len(c.set.Tenants) > 0 &&
-		!slices.ContainsFunc(c.set.Tenants, func(t silverpath.Tenant) bool { return t.Name == tenant })
+	return tenant != "" && len(c.set.Load().Tenants) > 0 &&
+		!slices.ContainsFunc(c.set.Load().Tenants, func(t silverpath.Tenant) bool { return t.Name == tenant })
 }
 
 // next waits for the request's next step.
@@ -382,7 +384,7 @@
 		why = "it is answered"
 	case t.ran && t.class.Effect != silverpath.Safe:
 		why = "it has run"
-	case c.phase >= Draining && t.Reached.After(c.drainedAt.Add(c.set.DrainGrace)):
+	case c.state.now().Leaving() && t.Reached.After(c.drainedAt.Add(c.set.Load().DrainGrace)):
 		why = "it came after the drain window"
 	case !c.keys.start(t):
 		why = "another try of it has run"
--- /dev/null
+++ b/internal/core/phases.go
@@ -0,0 +1,50 @@
+package core
+
+import (
+	"log"
+	"sync"
+	"sync/atomic"
+
+	"silverpath/internal/phase"
+)
+
+// phases is the service's one state. It has a lock of its own, held for a look at a table, so that an operator's
+// call never waits for a decision of the module.
+type phases struct {
+	log   *log.Logger
+	mu    sync.Mutex
+	state atomic.Int32
+}
+
+func (p *phases) now() phase.State { return phase.State(p.state.Load()) }
+
+// happens takes an event and says what became of it.
+func (p *phases) happens(e phase.Event) phase.Answer {
+	p.mu.Lock()
+	was := p.now()
+	a := was.Next(e)
+	p.state.Store(int32(a.To))
+	p.mu.Unlock()
+	if a.To != was {
+		p.log.Printf("phase %v", a.To)
+	}
+	return a
+}
+
+// Phase returns the current phase.
+func (c *Core) Phase() phase.State { return c.state.now() }
+
+// Ready reports whether the service is ready to serve, and why or why not.
+func (c *Core) Ready() (bool, string) { return c.state.now().Ready() }
+
+// Evacuate begins a drain that Rejoin ends: health is bad, and all that comes is served as before. It reports whether
+// that holds now, and why.
+func (c *Core) Evacuate() (bool, string) { return c.operator(phase.Evacuate) }
+
+// Rejoin ends such a drain.
+func (c *Core) Rejoin() (bool, string) { return c.operator(phase.Rejoin) }
+
+func (c *Core) operator(e phase.Event) (bool, string) {
+	a := c.state.happens(e)
+	return a.Yes, a.Why
+}
--- /dev/null
+++ b/internal/core/retune.go
@@ -0,0 +1,38 @@
+package core
+
+import (
+	"time"
+
+	"silverpath"
+)
+
+// bounded are the settings as this host can keep them: the interpreter's protocol stops no run and goes on without no
+// call, whatever a site would allow.
+func bounded(set silverpath.Settings) silverpath.Settings {
+	set.Halt = silverpath.HaltNone
+	set.Classes = append([]silverpath.Class(nil), set.Classes...)
+	for i := range set.Classes {
+		set.Classes[i].WithoutCall = 0
+	}
+	return set
+}
+
+// Retune takes up other settings, whole or not at all. Requests in hand keep the class they came with.
+func (c *Core) Retune(settings silverpath.Settings) error {
+	set := bounded(settings)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.module == nil {
+		return nil
+	}
+	var err error
+	c.decide(func(m *silverpath.Shedder, now time.Duration) { err = m.Retune(now, set) })
+	if err != nil {
+		return err
+	}
+	c.set.Store(&set)
+	if c.guard != nil {
+		c.hang(set)
+	}
+	return nil
+}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -13,7 +13,7 @@
 
 // Status is the state of the service as a JSON object. Like everything cheap it reads the view, not the module.
 func (c *Core) Status() []byte {
-	v := c.shown.Load()
+	v := c.View()
 	var a fastjson.Arena
 	o := a.NewObject()
 	truth := func(b bool) *fastjson.Value {
--- /dev/null
+++ b/internal/mgmt/mgmt.go
@@ -0,0 +1,312 @@
+// Package mgmt is the front for operators: HTTP/1.1, one call a connection. It asks nothing of the core's lock and has
+// its own few connections and buffers, so that a crowd of clients keeps no operator out.
+package mgmt
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"silverpath/internal/stats"
+)
+
+// Name is the front's name in counters and log lines.
+const Name = "mgmt"
+
+const (
+	// Most is the number of connections at once. A further one takes the place of the one that has been unfinished for
+	// longest, so callers that never finish keep nobody out.
+	Most = 16
+
+	mostHead     = 4 << 10 // bytes of request line and headers
+	mostBody     = 4 << 10 // what a call brings is read and not looked at
+	patience     = 5 * time.Second
+	writeTimeout = 2 * time.Second
+	// linger is how long what a caller still sends is read after its answer: to close on unread bytes would reset the
+	// connection, and the answer might be lost with it.
+	linger    = 200 * time.Millisecond
+	mostAfter = 64 << 10
+	logEvery  = time.Second // lines about bad calls, at most
+)
+
+// Operator is who does what is called for. No method blocks. Each says yes or no, and why in one line.
+type Operator interface {
+	Ready() (bool, string)
+	Evacuate() (bool, string)
+	Rejoin() (bool, string)
+}
+
+// status is the code of an answer, with its reason phrase.
+type status int
+
+var reasons = map[status]string{
+	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
+	411: "Length Required", 413: "Content Too Large", 431: "Request Header Fields Too Large", 503: "Service Unavailable",
+	505: "HTTP Version Not Supported",
+}
+
+// problem is a call that is answered without being made.
+type problem struct {
+	code status
+	name string // of its counter
+	why  string
+}
+
+func (p *problem) Error() string { return p.why }
+
+// call is one call as it was read.
+type call struct {
+	method, path string
+	body         int // bytes
+}
+
+// readHead reads request line and headers, bounded.
+func readHead(r *bufio.Reader) (c call, err error) {
+	left := mostHead
+	line := func() ([]byte, error) {
+		b, err := r.ReadSlice('\n')
+		left -= len(b)
+		if errors.Is(err, bufio.ErrBufferFull) || left < 0 {
+			return nil, &problem{431, "too_large", "request line and headers over 4 KiB"}
+		}
+		return bytes.TrimSuffix(bytes.TrimSuffix(b, []byte("\n")), []byte("\r")), err
+	}
+	first, err := line()
+	if err != nil {
+		return c, err
+	}
+	parts := strings.Split(string(first), " ")
+	if len(parts) != 3 || parts[0] == "" || !strings.HasPrefix(parts[1], "/") || !strings.HasPrefix(parts[2], "HTTP/") {
+		return c, &problem{400, "malformed", "the first line is not METHOD /PATH HTTP/1.1"}
+	}
+	if parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" {
+		return c, &problem{505, "malformed", "not HTTP/1.1"}
+	}
+	c.method = parts[0]
+	c.path, _, _ = strings.Cut(parts[1], "?")
+	told := false
+	for {
+		b, err := line()
+		if err != nil {
+			return c, err
+		}
+		if len(b) == 0 {
+			return c, nil
+		}
+		name, value, ok := strings.Cut(string(b), ":")
+		if !ok || name == "" || strings.TrimSpace(name) != name {
+			return c, &problem{400, "malformed", "a header line is not NAME: VALUE"}
+		}
+		value = strings.TrimSpace(value)
+		switch strings.ToLower(name) {
+		case "content-length":
+			n, err := strconv.ParseUint(value, 10, 31)
+			if err != nil || told && int(n) != c.body {
+				return c, &problem{400, "malformed", "Content-Length is no number"}
+			}
+			if n > mostBody {
+				return c, &problem{413, "too_large", "a body over 4 KiB"}
+			}
+			c.body, told = int(n), true
+		case "transfer-encoding":
+			return c, &problem{411, "malformed", "give a Content-Length"}
+		}
+	}
+}
+
+// read reads one whole call.
+func read(r *bufio.Reader) (call, error) {
+	c, err := readHead(r)
+	if err == nil && c.body > 0 {
+		_, err = io.CopyN(io.Discard, r, int64(c.body))
+	}
+	return c, err
+}
+
+// Server answers operators at one address.
+type Server struct {
+	ln    net.Listener
+	op    Operator
+	log   *log.Logger
+	stats *stats.Counters
+	took  *stats.Timing
+
+	mu     sync.Mutex
+	places []*place // in the order of their coming
+	said   time.Time
+	over   bool
+}
+
+type place struct {
+	conn    net.Conn
+	evicted bool
+}
+
+// Listen opens the address.
+func Listen(addr string, op Operator, l *log.Logger, s *stats.Counters) (*Server, error) {
+	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{ln: ln, op: op, log: l, stats: s, took: s.Timing("call", Name)}, nil
+}
+
+// Addr is the address listened on.
+func (s *Server) Addr() net.Addr { return s.ln.Addr() }
+
+// Close ends the front: calls under way are cut off.
+func (s *Server) Close() {
+	s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+	for _, p := range s.places {
+		p.conn.Close()
+	}
+}
+
+// Serve accepts calls until Close.
+func (s *Server) Serve() {
+	for {
+		conn, err := s.ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			s.stats.Inc("accept_failed", Name)
+			time.Sleep(10 * time.Millisecond) // out of descriptors: some will come free
+			continue
+		}
+		s.stats.Inc("connections", Name)
+		p := &place{conn: conn}
+		s.mu.Lock()
+		if len(s.places) >= Most {
+			oldest := s.places[0]
+			s.places = s.places[1:]
+			oldest.evicted = true
+			oldest.conn.Close()
+			s.stats.Inc("evicted", Name)
+		}
+		s.places = append(s.places, p)
+		if s.over {
+			conn.Close()
+		}
+		s.mu.Unlock()
+		go s.serve(p)
+	}
+}
+
+func (s *Server) free(p *place) {
+	p.conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, q := range s.places {
+		if q == p {
+			s.places = append(s.places[:i], s.places[i+1:]...)
+			break
+		}
+	}
+}
+
+// serve is the life of one call.
+func (s *Server) serve(p *place) {
+	defer s.free(p)
+	conn := p.conn
+	conn.SetReadDeadline(time.Now().Add(patience))
+	r := bufio.NewReaderSize(conn, mostHead)
+	c, err := read(r)
+	began := time.Now()
+	var bad *problem
+	switch {
+	case err == nil:
+		s.answer(conn, c)
+		s.took.Record(time.Since(began))
+	case errors.As(err, &bad):
+		s.refuse(conn, bad)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		s.refuse(conn, &problem{408, "too_slow", "no whole call came within 5 s"})
+	default: // the caller has left, or its place was taken
+		if s.mu.Lock(); !p.evicted {
+			s.stats.Inc("cut_short", Name)
+		}
+		s.mu.Unlock()
+		return
+	}
+	if err == nil && r.Buffered() > 0 {
+		s.stats.Inc("pipelined", Name) // one call a connection: what follows it is not made
+	}
+	if half, ok := conn.(*net.TCPConn); ok {
+		half.CloseWrite()
+	}
+	conn.SetReadDeadline(time.Now().Add(linger))
+	io.CopyN(io.Discard, conn, mostAfter)
+}
+
+// calls are what may be called for.
+var calls = map[string]struct {
+	method string
+	do     func(Operator) (bool, string)
+	no     status
+}{
+	"/api/ready":    {"GET", Operator.Ready, 503},
+	"/api/evacuate": {"POST", Operator.Evacuate, 409},
+	"/api/rejoin":   {"POST", Operator.Rejoin, 409},
+}
+
+// answer makes a call and says what became of it.
+func (s *Server) answer(conn net.Conn, c call) {
+	k, known := calls[c.path]
+	if !known {
+		s.refuse(conn, &problem{404, "unknown_path", "no such call"})
+		return
+	}
+	if c.method != k.method {
+		s.refuse(conn, &problem{405, "wrong_method", "call it with " + k.method}, "Allow: "+k.method)
+		return
+	}
+	yes, why := k.do(s.op)
+	code, word := status(200), "yes"
+	if !yes {
+		code, word = k.no, "no"
+	}
+	s.stats.Inc("calls", Name, strings.TrimPrefix(c.path, "/api/"), word)
+	s.write(conn, code, why)
+}
+
+// refuse answers a call that is not made. Lines about bad calls are bounded; the counters have them all.
+func (s *Server) refuse(conn net.Conn, p *problem, headers ...string) {
+	s.stats.Inc("bad_call", Name, p.name)
+	s.mu.Lock()
+	say := time.Since(s.said) >= logEvery
+	if say {
+		s.said = time.Now()
+	}
+	s.mu.Unlock()
+	if say {
+		s.log.Printf("%s: %d to %v: %s", Name, p.code, conn.RemoteAddr(), p.why)
+	}
+	s.write(conn, p.code, p.why, headers...)
+}
+
+func (s *Server) write(conn net.Conn, code status, why string, headers ...string) {
+	b := fmt.Appendf(make([]byte, 0, 256), "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: close\r\n",
+		code, reasons[code], len(why)+1)
+	for _, h := range headers {
+		b = append(append(b, h...), "\r\n"...)
+	}
+	b = fmt.Appendf(b, "\r\n%s\n", why)
+	conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := conn.Write(b); err != nil {
+		s.stats.Inc("write_failed", Name)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -15,11 +15,13 @@
 	"syscall"
 	"time"
 
+	"silverpath"
 	"silverpath/internal/announce"
 	"silverpath/internal/core"
 	"silverpath/internal/fleet"
 	"silverpath/internal/front"
 	"silverpath/internal/interp"
+	"silverpath/internal/mgmt"
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/pools"
 	"silverpath/internal/scgi"
@@ -49,7 +51,11 @@
 
 // budget shares out the descriptors, those that the configuration needs.
 func budget(c settings.Config) Budget {
-	n := max(8, c.Sockets-spareFDs)
+	n := c.Sockets - spareFDs
+	if c.Mgmt != "" {
+		n -= mgmt.Most // its own, whatever clients do
+	}
+	n = max(8, n)
 	b := Budget{Platform: n * 3 / 5} // balancers open up to half of the limit
 	if c.SCGI.Listen != "" {
 		b.Platform, b.SCGI = n*2/5, n/5
@@ -74,6 +80,7 @@
 	listeners []*front.Listener
 	keep      []func(context.Context)
 	agent     *snmp.Agent
+	mgmt      *mgmt.Server         // nil: none
 	link      *interp.Link         // nil where an application server does the work
 	below     *vault.Client        // likewise
 	fleet     *fleet.Runner        // nil but in a router
@@ -152,16 +159,26 @@
 			return nil, fmt.Errorf("snmp.listen: %w", err)
 		}
 	}
+	if cfg.Mgmt != "" {
+		s.mgmt, err = mgmt.Listen(cfg.Mgmt, s.core, l, s.stats)
+		if err != nil {
+			s.close()
+			return nil, fmt.Errorf("mgmt: %w", err)
+		}
+	}
 	s.reporter = announce.New(cfg.Announce, cfg.Name, s.core.Health, l)
 	s.keep = append(s.keep, s.reporter.Keep)
 	return s, nil
 }
 
-// Reload takes up a new configuration while the service runs: the addresses of the interpreter, the vault and
-// the announce service. What is under way there goes on. The rest of a configuration holds from a start to the
-// end of the process; where it differs, the log says so and the old one holds.
-func (s *Service) Reload(cfg settings.Config) {
+// Reload takes up a new configuration while the service runs, whole or not at all: the settings, and the addresses of
+// the interpreter, the vault and the announce service. What is under way goes on as it began. The rest of a
+// configuration holds from a start to the end of the process; where it differs, the log says so and the old one holds.
+func (s *Service) Reload(cfg settings.Config) error {
 	old := s.cfg
+	if err := old.Replaces(cfg); err != nil {
+		return err
+	}
 	if s.worker != nil {
 		cfg.VM = old.VM
 	}
@@ -180,6 +197,13 @@
 		s.cfg.Announce = cfg.Announce
 		s.reporter.Move(cfg.Announce)
 	}
+	if s.cfg.Retuned(cfg) {
+		if err := s.core.Retune(cfg.Server); err != nil {
+			return fmt.Errorf("settings: %w", err)
+		}
+		s.cfg.Server = cfg.Server
+		s.log.Printf("reload: settings: taken up, %s", classes(cfg.Server))
+	}
 	for _, field := range s.cfg.Differs(cfg) {
 		s.log.Printf("reload: %s: differs, and holds only from the next start", field)
 	}
@@ -196,6 +220,16 @@
 	}
 	s.stats.Inc("reloads", "done")
 	s.log.Printf("reload: done")
+	return nil
+}
+
+// classes names the classes of settings.
+func classes(set silverpath.Settings) string {
+	var names []string
+	for _, k := range set.Classes {
+		names = append(names, k.Name)
+	}
+	return "classes " + strings.Join(names, ", ")
 }
 
 func (s *Service) listen(field, name, addr string, most int, handle front.Handler) error {
@@ -224,6 +258,9 @@
 	for _, l := range s.listeners {
 		l.Close()
 	}
+	if s.agent != nil {
+		s.agent.Close()
+	}
 	if s.worker != nil {
 		s.worker.Close()
 	}
@@ -288,6 +325,10 @@
 		go s.agent.Serve()
 		defer s.agent.Close()
 	}
+	if s.mgmt != nil {
+		go s.mgmt.Serve()
+		defer s.mgmt.Close()
+	}
 	<-leave
 	return s.drain()
 }
@@ -359,6 +400,9 @@
 	if s.agent != nil {
 		l.Printf("snmp: listening on %v", s.agent.Addr())
 	}
+	if s.mgmt != nil {
+		l.Printf("%s: listening on %v", mgmt.Name, s.mgmt.Addr())
+	}
 	leave := make(chan struct{})
 	go func() {
 		left := false
@@ -368,12 +412,13 @@
 				s.stats.Print(out)
 			case sig == syscall.SIGHUP:
 				cfg, err := load()
+				if err == nil {
+					err = s.Reload(cfg)
+				}
 				if err != nil {
 					s.stats.Inc("reloads", "bad")
 					l.Printf("reload: the old configuration holds: %v", err)
-					continue
 				}
-				s.Reload(cfg)
 			case !left:
 				l.Printf("told to leave: %v", sig)
 				left = true
@@ -399,6 +444,7 @@
 		{"MessagePack-RPC front", c.Listen, b.Platform}, {"SCGI front", c.SCGI.Listen, b.SCGI},
 		{"interpreter", c.VM, 1}, {"fleet", fleetOf(c), b.Upstream}, {"SCGI application server", c.SCGI.Upstream, b.Upstream},
 		{"vault", c.Vault, b.Vault}, {"announce service", c.Announce, 1}, {"SNMP agent", c.SNMP.Listen, 1},
+		{"management front", c.Mgmt, mgmt.Most},
 	} {
 		if part.addr == "" {
 			s += fmt.Sprintf("  %s: off\n", part.what)
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -19,6 +20,7 @@
 type Config struct {
 	Name     string
 	Listen   string        // where balancers connect; empty: no such front
+	Mgmt     string        // where operators call; empty: nowhere
 	VM       string        // the interpreter
 	Announce string        // the announce service; empty: none
 	Vault    string        // what lies below; empty in the last tier
@@ -32,6 +34,7 @@
 	Edge     Edge
 	Server   silverpath.Settings
 	Gauges   []string // the order of the gauges
+	shape    shape    // of the file
 }
 
 // SCGI sets up the second front and the second runner; both are off while their address is empty.
@@ -65,6 +68,9 @@
 		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
 	}
 	c, err := parseConfig(data, os.Getenv("LB_NAME"), os.Getenv("LB_LISTEN"), router)
+	if mgmt := os.Getenv("LB_MGMT"); err == nil && c.Mgmt == "" && mgmt != "" {
+		c.Mgmt, err = mgmt, address("LB_MGMT", mgmt)
+	}
 	if err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
@@ -88,7 +94,7 @@
 	limits, s, agent := f.object("limits"), f.object("scgi"), f.object("snmp")
 	c := Config{
 		Name: f.text("name"), Listen: f.text("listen"), VM: f.text("vm"), Announce: f.text("announce"),
-		Vault: f.text("vault"), Stop: time.Duration(f.integer("stop_ms")) * time.Millisecond,
+		Vault: f.text("vault"), Mgmt: f.text("mgmt"), shape: shapeOf(v), Stop: time.Duration(f.integer("stop_ms")) * time.Millisecond,
 		MemoryMB: limits.number("memory_mb"), Sockets: int(limits.integer("sockets")),
 		SCGI: SCGI{
 			Listen: s.text("listen"), Upstream: s.text("upstream"), MaxBody: int(s.integer("max_body")),
@@ -130,20 +136,29 @@
 		{"listen", c.Listen, c.SCGI.Listen == ""}, {"vm", c.VM, c.SCGI.Upstream == "" && !router},
 		{"announce", c.Announce, false}, {"vault", c.Vault, false},
 		{"scgi.listen", c.SCGI.Listen, false}, {"scgi.upstream", c.SCGI.Upstream, false},
-		{"snmp.listen", c.SNMP.Listen, false},
+		{"snmp.listen", c.SNMP.Listen, false}, {"mgmt", c.Mgmt, false},
 	} {
 		if a.addr == "" && !a.required {
 			continue
 		}
-		if _, err := netip.ParseAddrPort(a.addr); err != nil {
-			return fmt.Errorf("%s: not an address and port: %q", a.field, a.addr)
+		if err := address(a.field, a.addr); err != nil {
+			return err
+		}
+	}
+	for _, need := range [][]string{{"settings"}, {"settings", "classes"}, {"settings", "family_info"},
+		{"settings", "family_info", "cpus"}, {"settings", "family_info", "memory_kb"}} {
+		if !v.Exists(need...) {
+			return fmt.Errorf("%s: missing", strings.Join(need, "."))
+		}
+	}
+	for i, k := range c.Server.Classes {
+		if k.Deadline <= 0 {
+			return fmt.Errorf("settings.classes[%d].deadline: not a number above 0", i)
 		}
 	}
 	switch {
 	case c.Name == "":
 		return errors.New("name: missing")
-	case !v.Exists("settings"):
-		return errors.New("settings: missing")
 	case v.Exists("stop_ms") && c.Stop <= 0:
 		return fmt.Errorf("stop_ms: not above 0: %v", v.Get("stop_ms"))
 	case v.Exists("limits", "memory_mb") && c.MemoryMB < 16:
@@ -185,6 +200,13 @@
 	return nil
 }
 
+func address(field, addr string) error {
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		return fmt.Errorf("%s: not an address and port: %q", field, addr)
+	}
+	return nil
+}
+
 // Differs names the fields, but for the addresses of the platform's other parties, in which another
 // configuration differs from this one.
 func (c Config) Differs(d Config) []string {
@@ -193,13 +215,13 @@
 		name string
 		same bool
 	}{
-		{"name", c.Name == d.Name}, {"listen", c.Listen == d.Listen}, {"stop_ms", c.Stop == d.Stop},
+		{"name", c.Name == d.Name}, {"listen", c.Listen == d.Listen}, {"mgmt", c.Mgmt == d.Mgmt}, {"stop_ms", c.Stop == d.Stop},
 		{"vm", (c.VM == "") == (d.VM == "")}, {"vault", (c.Vault == "") == (d.Vault == "")},
 		{"limits", c.MemoryMB == d.MemoryMB && c.Sockets == d.Sockets},
 		{"scgi", c.SCGI == d.SCGI}, {"snmp", c.SNMP == d.SNMP},
 		{"edge", c.Edge.On == d.Edge.On && c.Edge.Status == d.Edge.Status && c.Edge.Cell == d.Edge.Cell && c.Edge.PoolsOn() == d.Edge.PoolsOn() &&
 			reflect.DeepEqual(c.Edge.Reserve, d.Edge.Reserve) && reflect.DeepEqual(c.Edge.Fleet, d.Edge.Fleet)},
-		{"settings", reflect.DeepEqual(unseeded(c.Server), unseeded(d.Server)) && slices.Equal(c.Gauges, d.Gauges)},
+		{"settings.family_info.gauges", slices.Equal(c.Gauges, d.Gauges)},
 	} {
 		if !f.same {
 			list = append(list, f.name)
@@ -208,10 +230,11 @@
 	return list
 }
 
-// unseeded is without the seed, which a file that is written anew may give anew.
-func unseeded(s silverpath.Settings) silverpath.Settings {
-	s.Seed = 0
-	return s
+// Retuned reports whether another configuration has other settings, but for the seed, which a file that is written
+// anew may give anew.
+func (c Config) Retuned(d Config) bool {
+	c.Server.Seed = d.Server.Seed
+	return !reflect.DeepEqual(c.Server, d.Server)
 }
 
 // silent is a host for a module that is only asked whether it takes its settings.
--- a/record.go
+++ b/record.go
@@ -86,9 +86,13 @@
 	over
 )
 
-// class is a class with what was seen of it.
+// class is a class with what was seen of it, which a class of other settings under the same name shares.
 type class struct {
 	Class
+	*seen
+}
+
+type seen struct {
 	times         *window.Rolling // of its ends
 	flying        int
 	avgFlying     window.Average
--- a/shedder.go
+++ b/shedder.go
@@ -74,22 +74,9 @@
 	}
 	s := &Shedder{
 		set: set, host: host, now: now, started: now, learnFrom: now, nextSample: now + sampleEvery,
-		byName: map[string]*class{}, tenants: map[string]*window.TokenBucket{},
 		byID: map[string]*request{}, keys: newKeyTable(),
 	}
-	for _, c := range set.Classes {
-		k := &class{
-			Class:  c,
-			weight: c.Worth,
-			times:  window.NewRolling(windowBuckets, windowSpan/windowBuckets),
-		}
-		s.classes = append(s.classes, k)
-		s.byName[c.Name] = k
-	}
-	for _, t := range set.Tenants {
-		rate := t.Rate / float64(max(1, set.Servers))
-		s.tenants[t.Name] = window.NewTokenBucket(now, rate, burst(rate))
-	}
+	s.learn(now, set)
 	s.usualPace = 1
 	s.callRoom = mostCalls * float64(set.Cores)
 	s.doneWork = float64(set.Cores)
@@ -101,6 +88,27 @@
 	return s, nil
 }
 
+// learn takes up classes and tenants. What was seen of those that stay is kept.
+func (s *Shedder) learn(now time.Duration, set Settings) {
+	classes, tenants, servers := s.byName, s.tenants, max(1, s.set.Servers)
+	s.classes, s.byName, s.tenants = nil, map[string]*class{}, map[string]*window.TokenBucket{}
+	for _, c := range set.Classes {
+		k := &class{c, &seen{weight: c.Worth, times: window.NewRolling(windowBuckets, windowSpan/windowBuckets)}}
+		if old := classes[c.Name]; old != nil {
+			k.seen = old.seen
+		}
+		s.classes = append(s.classes, k)
+		s.byName[c.Name] = k
+	}
+	for _, t := range set.Tenants {
+		rate := t.Rate / float64(max(1, set.Servers))
+		same := slices.Contains(s.set.Tenants, t) && servers == max(1, set.Servers)
+		if s.tenants[t.Name] = tenants[t.Name]; s.tenants[t.Name] == nil || !same {
+			s.tenants[t.Name] = window.NewTokenBucket(now, rate, burst(rate))
+		}
+	}
+}
+
 // Use gives the module pools as one more guard. It is called before the first request.
 func (s *Shedder) Use(p Pools) { s.pools = p }
 
@@ -113,6 +121,21 @@
 	s.learnFrom = max(s.learnFrom, s.started)
 }
 
+// Retune takes up other settings, whole or not at all. Requests in hand keep the class they came with; one under the
+// name of a class that was dropped meanwhile starts clean. What runs here started when it did, whatever is told.
+func (s *Shedder) Retune(now time.Duration, set Settings) error {
+	s.at(now)
+	if err := check(&set); err != nil {
+		return fmt.Errorf("silverpath: impossible settings: %w", err)
+	}
+	set.Cold = s.set.Cold
+	s.learn(now, set)
+	s.set = set
+	s.settleCalls()
+	s.plan()
+	return nil
+}
+
 // Arrive takes a request that was just read. It is answered sooner or later, once.
 func (s *Shedder) Arrive(now time.Duration, q Request) {
 	s.at(now)
