A newer process takes over under load: two on one listening socket are one service

Design (internal/handover decides, internal/pair does the I/O). A keyed request runs only in the process that owns its key: the elder owns every key that neither has, the younger asks for each key it does not know and is granted it, or told the run that there is and joins it. Before the elder runs a key it writes so on a local socket, whose bytes outlive it, so the younger knows after its death all that may have run; without a link it leaves a mark in the folder first, and a younger that finds the mark fails what it does not know for the window. Two files under $TMPDIR, locked by their open descriptions, are the places: a dead process's file says nothing, a third process waits.

Weighed and rejected: files alone for keys and results (a write and a look at each try, in counted memory, and no way to wait for a result); sending every keyed request on to the elder (what comes over 2 s after its notice would run there, and its death loses what it holds); a split of keys by hash (a repeat of what ran before the split reaches the wrong side). Process ids in files: reused.

The younger accepts once its interpreter is up and the elder's runs are known. SIGTERM with a successor: the listener is closed at once, every peer is told to go, reports end. An evacuation holds for both. Other fronts and SNMP open their address with SO_REUSEPORT.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -23,6 +23,7 @@
 
 	mu    sync.Mutex
 	addr  string
+	quiet bool
 	moved chan struct{}
 }
 
@@ -42,6 +43,13 @@
 	}
 }
 
+// Quiet ends the reports: another process of the same name reports from now on.
+func (r *Reporter) Quiet() {
+	r.mu.Lock()
+	r.quiet = true
+	r.mu.Unlock()
+}
+
 // Keep reports until the context ends. A report that can't be sent is let go: the next one comes soon, and the
 // announce service may be down.
 func (r *Reporter) Keep(ctx context.Context) {
@@ -51,7 +59,7 @@
 	at := ""
 	for {
 		r.mu.Lock()
-		addr := r.addr
+		addr, quiet := r.addr, r.quiet
 		r.mu.Unlock()
 		if addr != at {
 			if conn != nil {
@@ -59,7 +67,7 @@
 			}
 			conn, at = r.dial(addr), addr
 		}
-		if conn != nil {
+		if conn != nil && !quiet {
 			conn.Write(report(r.name, r.good()))
 		}
 		select {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,6 +100,7 @@
 	Status   bool          // fronts answer requests for the state of the service
 	Pools    *pools.Config // nil: none
 	Cell     bool          // serves in a cell, behind routers: see Known
+	Pair     *PairConfig   // nil: no other process ever takes over from this one
 	Log      *log.Logger
 	Stats    *stats.Counters
 }
@@ -141,6 +142,8 @@
 	looked    time.Duration
 	saidLimit float64
 	saidAt    time.Duration
+	runnerUp  bool
+	pair      *pair // nil: see Config
 }
 
 // New returns a Core in the phase Starting. Attach gives it its runner before the first request.
@@ -169,6 +172,9 @@
 		c.saidLimit = 1
 		c.hang(set)
 	}
+	if cfg.Pair != nil {
+		c.pair = newPair(c, *cfg.Pair, cfg.MemoryMB)
+	}
 	c.show()
 	return c, nil
 }
@@ -180,7 +186,7 @@
 	_, c.blind = r.(Forwarder)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m, err := silverpath.New(c.clock(), *c.set.Load(), (*host)(c))
+	m, err := silverpath.New(c.clock(), c.planned(*c.set.Load()), (*host)(c))
 	if err != nil {
 		return fmt.Errorf("starting the module: %w", err)
 	}
@@ -225,8 +231,8 @@
 func (c *Core) Up() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state.happens(phase.Up)
-	c.show()
+	c.runnerUp = true
+	c.rise()
 }
 
 // Drain is the notice to leave; the process ends after the given time.
@@ -238,6 +244,10 @@
 	}
 	c.state.happens(phase.Leave)
 	c.drainedAt = time.Now()
+	if c.pair != nil {
+		c.pair.side.Ready(false)
+		c.settlePair()
+	}
 	c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Drain(now, now+stop) })
 	c.settled()
 }
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"silverpath"
+	"silverpath/internal/handover"
 )
 
 // flight is the one run of a request that may come again: held, under way, or over with its result.
@@ -19,6 +20,8 @@
 	result  []byte
 	ended   time.Time
 	joined  []*task
+	theirs  bool // of the other process of a pair
+	unrun   bool // theirs, and only taken there
 }
 
 // entry is what is known under one key.
@@ -27,6 +30,8 @@
 	held  *flight // in the hold, not run
 	last  *flight // the latest that was run
 	until time.Time
+	// window is how far apart tries of one request may be.
+	window time.Duration
 	// moved: until then no try of it is run here, as a router asked for it, it was not known, and it runs elsewhere.
 	moved time.Time
 	fresh bool // of a read: it serves others while it is under way and a little longer
@@ -40,11 +45,22 @@
 	entries map[string]*entry
 	size    int
 	limit   int
-	seed    maphash.Seed
+	sum     func(t *task) uint64 // of what every try of a request is
 }
 
 func newKeyTable(limit int) keyTable {
-	return keyTable{entries: map[string]*entry{}, limit: max(limit, 64<<10), seed: maphash.MakeSeed()}
+	seed := maphash.MakeSeed()
+	return keyTable{entries: map[string]*entry{}, limit: max(limit, 64<<10), sum: func(t *task) uint64 {
+		return maphash.Bytes(seed, t.Body) ^ maphash.String(seed, t.Tenant)
+	}}
+}
+
+// keyOf is the key under which a keyed request is known, empty for others.
+func keyOf(k silverpath.Class, r *Request) string {
+	if k.Effect != silverpath.Keyed || r.Key == "" {
+		return ""
+	}
+	return k.Name + "\x00" + r.Key
 }
 
 // enter looks up which run a request repeats, and enters it where it is the first of its key. It reports
@@ -53,14 +69,14 @@
 func (k *keyTable) enter(t *task, freshFor time.Duration, now time.Time) bool {
 	var key string
 	switch {
-	case t.class.Effect == silverpath.Keyed && t.Key != "":
-		key = t.Class + "\x00" + t.Key
+	case t.sheet():
+		key = keyOf(t.class, &t.Request)
 	case t.class.Effect == silverpath.Safe && freshFor > 0 && t.Object != "":
 		key = t.Class + "\x01" + t.Object
 	default:
 		return true
 	}
-	sum := maphash.Bytes(k.seed, t.Body) ^ maphash.String(k.seed, t.Tenant)
+	sum := k.sum(t)
 	e := k.entries[key]
 	if e != nil {
 		f := e.held
@@ -100,7 +116,7 @@
 		e.until = later(e.until, e.moved)
 		return true
 	}
-	e.until = later(e.until, t.Due.Add(keyLinger))
+	e.until, e.window = later(e.until, t.Due.Add(keyLinger)), max(e.window, t.class.KeyWindow)
 	t.flight = &flight{id: t.ID, sum: sum, entry: e, reached: t.Reached}
 	if !e.fresh {
 		e.held = t.flight
@@ -200,8 +216,75 @@
 // sweep drops what is past its time and not in use.
 func (k *keyTable) sweep(now time.Time) {
 	for _, e := range k.entries {
-		if e.held == nil && (e.last == nil || e.last.done) && now.After(e.until) {
+		if e.held == nil && (e.last == nil || e.last.done || e.last.theirs) && now.After(e.until) {
 			k.remove(e)
 		}
 	}
 }
+
+// ---- Runs of the other process of a pair ----
+
+// put notes how far a run of the other process has come, and returns it.
+func (k *keyTable) put(m handover.Flight, now time.Time) *flight {
+	e := k.entries[m.Key]
+	if e == nil {
+		e = &entry{key: m.Key, size: entryBytes + len(m.Key)}
+		k.entries[m.Key] = e
+		k.size += e.size
+	}
+	e.until, e.window = later(e.until, time.Unix(0, m.Until)), max(e.window, m.Window)
+	f := e.last
+	switch {
+	case e.held != nil || f != nil && !f.theirs && !f.done:
+		return nil // its own run: the other can't have one
+	case f != nil && f.theirs && !f.done: // the same, further on
+	case f != nil && f.id == m.ID:
+		return nil // known, with its end
+	case f != nil && !f.theirs && within(time.Unix(0, m.Reached), f.reached, e.window):
+		return nil
+	default:
+		k.supersede(e)
+		f = &flight{entry: e, theirs: true}
+		e.last = f
+	}
+	f.id, f.sum, f.reached, f.unrun = m.ID, m.Sum, time.Unix(0, m.Reached), m.Stage == handover.Held
+	if m.Stage >= handover.Passed {
+		f.done, f.ok, f.ended = true, m.Stage == handover.Passed, now
+	}
+	if f.ok {
+		f.result = m.Result
+		e.size += len(m.Result)
+		k.size += len(m.Result)
+	}
+	return f
+}
+
+// dropTheirs forgets a run of the other process that never began, and returns it.
+func (k *keyTable) dropTheirs(key string) *flight {
+	e := k.entries[key]
+	if e == nil || e.last == nil || !e.last.theirs || e.last.done {
+		return nil
+	}
+	f := e.last
+	f.done, e.last = true, nil
+	if e.held == nil && e.moved.IsZero() {
+		k.remove(e)
+	}
+	return f
+}
+
+// own are the runs of this process that further tries may repeat.
+func (k *keyTable) own(now time.Time) []handover.Flight {
+	var list []handover.Flight
+	for _, e := range k.entries {
+		if e.fresh || now.After(e.until) {
+			continue
+		}
+		if e.held != nil {
+			list = append(list, e.held.tell())
+		} else if e.last != nil && !e.last.theirs {
+			list = append(list, e.last.tell())
+		}
+	}
+	return list
+}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"silverpath"
+	"silverpath/internal/handover"
 	"silverpath/internal/phase"
 )
 
@@ -54,6 +55,8 @@
 	outcome  silverpath.Outcome
 	data     []byte
 	spent    time.Duration
+	note     handover.Note // toRun: how the other process hears of it first
+	link     int           // and on which link
 }
 
 type stepKind int
@@ -90,7 +93,9 @@
 	for {
 		switch s := c.next(t); s.kind {
 		case toRun:
-			if f, hands := c.runner.(Forwarder); hands {
+			if !c.told(s.note, s.link) { // the other process has to know first
+				c.unrun(t)
+			} else if f, hands := c.runner.(Forwarder); hands {
 				f.Forward(t.Request)
 			} else {
 				c.runner.Run(t.ID, t.Class, t.Body)
@@ -139,8 +144,13 @@
 	began := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.locked.Record(time.Since(began))
+	if a, over := c.claim(&r, k); over { // waits, without the lock, where another process may have its key
+		c.stats.Inc("answered", r.Front, name, a.Outcome.String())
+		return nil, a
+	}
+	defer c.claimed(&r, k)
 	now := time.Now()
-	c.locked.Record(now.Sub(began))
 	set := c.set.Load()
 	full := Answer{Outcome: Refused, Wait: set.MaxAdvice}
 	why := ""
@@ -279,6 +289,9 @@
 	defer c.mu.Unlock()
 	t := c.tasks[id]
 	if t == nil {
+		if s.kind == left {
+			c.give(id)
+		}
 		return
 	}
 	if s.kind == ended && t.cancel != nil {
@@ -305,6 +318,7 @@
 	if !wasJoin {
 		c.stats.Inc("runs", t.Class, outcomeNames[s.outcome])
 		c.keys.done(t.flight, s.outcome, s.data, time.Now())
+		c.tellEnd(t.flight)
 		c.wakeJoined(t.flight)
 	}
 	switch {
@@ -397,7 +411,8 @@
 		return
 	}
 	t.ran, t.running = true, true
-	t.post(step{kind: toRun})
+	note, link := c.noteStart(t.flight)
+	t.post(step{kind: toRun, note: note, link: link})
 }
 
 // join makes a request wait for the result of the run that it repeats, or takes it where it is there.
@@ -440,6 +455,7 @@
 	f := t.flight
 	t.flight = nil
 	c.keys.drop(f)
+	c.tellDrop(f)
 	f.done = true
 	c.wakeJoined(f)
 }
--- a/internal/core/phases.go
+++ b/internal/core/phases.go
@@ -46,5 +46,24 @@
 
 func (c *Core) operator(e phase.Event) (bool, string) {
 	a := c.state.happens(e)
+	if a.Yes && c.pair != nil {
+		go c.tellOut() // the answer waits for no lock
+	}
 	return a.Yes, a.Why
 }
+
+// rise makes the service serve once its runner is up and, of two processes, this one may take requests. It is called
+// under the lock.
+func (c *Core) rise() {
+	if !c.runnerUp || c.pair != nil && !c.pair.side.May() {
+		return
+	}
+	c.state.happens(phase.Up)
+	if c.pair != nil && !c.pair.open {
+		c.pair.open = true
+		close(c.pair.risen)
+		c.pair.side.Ready(!c.state.now().Leaving())
+		c.settlePair()
+	}
+	c.show()
+}
--- a/internal/core/retune.go
+++ b/internal/core/retune.go
@@ -19,14 +19,17 @@
 
 // Retune takes up other settings, whole or not at all. Requests in hand keep the class they came with.
 func (c *Core) Retune(settings silverpath.Settings) error {
-	set := bounded(settings)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.retune(bounded(settings))
+}
+
+func (c *Core) retune(set silverpath.Settings) error {
 	if c.module == nil {
 		return nil
 	}
 	var err error
-	c.decide(func(m *silverpath.Shedder, now time.Duration) { err = m.Retune(now, set) })
+	c.decide(func(m *silverpath.Shedder, now time.Duration) { err = m.Retune(now, c.planned(set)) })
 	if err != nil {
 		return err
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,9 +5,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log"
 	"net"
+	"os"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"silverpath/internal/pools"
@@ -161,6 +165,39 @@
 	return New(name, ln, most, idle, handle, l, s), nil
 }
 
+// Shared opens an address that another process of the service may have open too.
+func Shared(addr string) (net.Listener, error) {
+	return (&net.ListenConfig{KeepAlive: -1, Control: ReusePort}).Listen(context.Background(), "tcp", addr)
+}
+
+// ReusePort lets two processes of the service have one address.
+func ReusePort(_, _ string, c syscall.RawConn) error {
+	const soReusePort = 15
+	var err error
+	if e := c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, soReusePort, 1) }); e != nil {
+		return e
+	}
+	return err
+}
+
+// Inherited returns the listener of a descriptor that the process was started with.
+func Inherited(fd int) (net.Listener, error) {
+	f := os.NewFile(uintptr(fd), "listener")
+	if f == nil {
+		return nil, fmt.Errorf("descriptor %d is not open", fd)
+	}
+	defer f.Close() // the listener has its own
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	if _, ok := ln.(*net.TCPListener); !ok {
+		ln.Close()
+		return nil, fmt.Errorf("descriptor %d is no TCP listener", fd)
+	}
+	return ln, nil
+}
+
 // New serves an open listener.
 func New(name string, ln net.Listener, most int, idle func() time.Duration, handle Handler, l *log.Logger, s *stats.Counters) *Listener {
 	return &Listener{
@@ -330,6 +367,30 @@
 	}
 }
 
+// SetMost changes the budget. Idle connections over it give way at once, the one that is missed least first.
+func (l *Listener) SetMost(most int) {
+	l.mu.Lock()
+	l.most = max(1, most)
+	over := len(l.slots) - l.most
+	var idle []*Slot
+	for s := range l.slots {
+		if s.open == 0 && time.Since(s.since) >= idleGrace {
+			idle = append(idle, s)
+		}
+	}
+	l.mu.Unlock()
+	slices.SortFunc(idle, func(a, b *Slot) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	for _, s := range idle[:min(len(idle), max(0, over))] {
+		l.stats.Inc("evicted", l.name)
+		s.conn.Close()
+	}
+}
+
 // Drain asks every peer, and those still to come, to leave.
 func (l *Listener) Drain() {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/pair/places.go
@@ -0,0 +1,92 @@
+package pair
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+)
+
+// places are the two places in which processes of one service live: a file each, in a folder that they share. Whoever
+// lives in a place holds the lock on its file, which the system lets go of with the process. So a file that a dead
+// process left behind says nothing, and there are never more than two.
+type places struct {
+	dir   *os.File
+	stem  string
+	files [2]*os.File
+}
+
+// Locks of open files, not of processes: F_OFD_GETLK and F_OFD_SETLK of fcntl(2).
+const (
+	ofdGet = 36
+	ofdSet = 37
+)
+
+func openPlaces(dir, name string) (*places, error) {
+	d, err := os.Open(dir)
+	if err != nil {
+		return nil, err
+	}
+	h := fnv.New64a()
+	io.WriteString(h, name)
+	p := &places{dir: d, stem: fmt.Sprintf("silverpath-%016x", h.Sum64())}
+	for i := range p.files {
+		if p.files[i], err = os.OpenFile(filepath.Join(dir, fmt.Sprintf("%s.%d", p.stem, i)), os.O_RDWR|os.O_CREATE, 0o600); err != nil {
+			p.close()
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (p *places) close() {
+	p.dir.Close()
+	for _, f := range p.files {
+		if f != nil {
+			f.Close()
+		}
+	}
+}
+
+// take takes a place that is empty, if there is one.
+func (p *places) take() (place int, ok bool) {
+	for i, f := range p.files {
+		l := syscall.Flock_t{Type: syscall.F_WRLCK, Whence: io.SeekStart}
+		if syscall.FcntlFlock(f.Fd(), ofdSet, &l) == nil {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// taken reports whether somebody else lives in a place.
+func (p *places) taken(place int) bool {
+	l := syscall.Flock_t{Type: syscall.F_WRLCK, Whence: io.SeekStart}
+	err := syscall.FcntlFlock(p.files[place].Fd(), ofdGet, &l)
+	return err != nil || l.Type != syscall.F_UNLCK // when in doubt, somebody does
+}
+
+// socket is where the process in a place listens for the other. By way of the folder's descriptor its path is short
+// enough for a socket's name, however long the folder's own is.
+func (p *places) socket(place int) string {
+	return fmt.Sprintf("/proc/self/fd/%d/%s.%d.sock", p.dir.Fd(), p.stem, place)
+}
+
+// mark is the file by which a process tells that it ran what the other has not heard of.
+func (p *places) mark(stamp int64) string {
+	return filepath.Join(p.dir.Name(), p.stem+".mark."+strconv.FormatInt(stamp, 10))
+}
+
+// sweep takes the marks of processes away that nobody looks for any more.
+func (p *places) sweep() {
+	names, _ := os.ReadDir(p.dir.Name())
+	for _, n := range names {
+		if strings.HasPrefix(n.Name(), p.stem+".mark.") {
+			os.Remove(filepath.Join(p.dir.Name(), n.Name()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/pair/wire.go
@@ -0,0 +1,143 @@
+package pair
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"silverpath/internal/handover"
+)
+
+// A frame is its length as four bytes, then a version, the kind, flags, and what the kind brings: a stamp, or a run as
+// numbers of eight bytes and as texts with their length before them. All numbers are big-endian.
+const (
+	version   = 1
+	mostFrame = 1 << 20 // of a result there are 4 KiB on the platform; an application server's may be larger
+	leastRun  = 4*8 + 1 + 3*4
+	inChunks  = 4 << 10 // what a length promises is allocated as it comes
+)
+
+const (
+	flagSole = 1 << iota
+	flagOut
+	flagReady
+)
+
+var errFrame = errors.New("bad frame")
+
+func appendMessage(b []byte, m handover.Message) []byte {
+	start := len(b)
+	b = append(b, 0, 0, 0, 0, version, byte(m.Kind), flags(m))
+	switch m.Kind {
+	case handover.Hello:
+		b = binary.BigEndian.AppendUint64(b, uint64(m.Stamp))
+	case handover.Run, handover.Gone, handover.Claim, handover.Grant, handover.Taken:
+		f := m.Flight
+		for _, n := range []uint64{f.Sum, uint64(f.Reached), uint64(f.Until), uint64(f.Window)} {
+			b = binary.BigEndian.AppendUint64(b, n)
+		}
+		b = append(b, byte(f.Stage))
+		for _, text := range []string{f.Key, f.ID} {
+			b = append(binary.BigEndian.AppendUint32(b, uint32(len(text))), text...)
+		}
+		b = append(binary.BigEndian.AppendUint32(b, uint32(len(f.Result))), f.Result...)
+	}
+	binary.BigEndian.PutUint32(b[start:], uint32(len(b)-start-4))
+	return b
+}
+
+func flags(m handover.Message) (n byte) {
+	for _, f := range []struct {
+		set bool
+		bit byte
+	}{{m.Sole, flagSole}, {m.Out, flagOut}, {m.Ready, flagReady}} {
+		if f.set {
+			n |= f.bit
+		}
+	}
+	return n
+}
+
+// readMessage reads one frame. Memory is taken as its bytes come, whatever its length promises.
+func readMessage(r *bufio.Reader, frame []byte) (m handover.Message, _ []byte, err error) {
+	var head [4]byte
+	if _, err = io.ReadFull(r, head[:]); err != nil {
+		return m, frame, err
+	}
+	n := int(binary.BigEndian.Uint32(head[:]))
+	if n > mostFrame || n < 3 {
+		return m, frame, fmt.Errorf("%w: %d bytes", errFrame, n)
+	}
+	frame = frame[:0]
+	for len(frame) < n {
+		have := len(frame)
+		frame = append(frame, make([]byte, min(inChunks, n-have))...)
+		if _, err = io.ReadFull(r, frame[have:]); err != nil {
+			return m, frame, fmt.Errorf("in a frame: %w", err)
+		}
+	}
+	m, err = parseMessage(frame)
+	return m, frame, err
+}
+
+func parseMessage(b []byte) (m handover.Message, err error) {
+	if len(b) < 3 || b[0] != version {
+		return m, fmt.Errorf("%w: of another version", errFrame)
+	}
+	m.Kind = handover.Kind(b[1])
+	m.Sole, m.Out, m.Ready = b[2]&flagSole != 0, b[2]&flagOut != 0, b[2]&flagReady != 0
+	b = b[3:]
+	switch m.Kind {
+	case handover.Hello:
+		if len(b) != 8 {
+			return m, fmt.Errorf("%w: hello of %d bytes", errFrame, len(b))
+		}
+		m.Stamp = int64(binary.BigEndian.Uint64(b))
+		return m, nil
+	case handover.Status, handover.Whole:
+		if len(b) != 0 {
+			return m, fmt.Errorf("%w: %d bytes too many", errFrame, len(b))
+		}
+		return m, nil
+	case handover.Run, handover.Gone, handover.Claim, handover.Grant, handover.Taken:
+	default:
+		return m, fmt.Errorf("%w: kind %d", errFrame, m.Kind)
+	}
+	if len(b) < leastRun {
+		return m, fmt.Errorf("%w: a run of %d bytes", errFrame, len(b))
+	}
+	number := func() int64 {
+		n := int64(binary.BigEndian.Uint64(b))
+		b = b[8:]
+		return n
+	}
+	f := &m.Flight
+	f.Sum, f.Reached, f.Until, f.Window = uint64(number()), number(), number(), time.Duration(number())
+	f.Stage = handover.Stage(b[0])
+	b = b[1:]
+	text := func() []byte {
+		if err != nil || len(b) < 4 {
+			err = errFrame
+			return nil
+		}
+		n := int(binary.BigEndian.Uint32(b))
+		if b = b[4:]; n > len(b) {
+			err = fmt.Errorf("%w: %d bytes of %d", errFrame, len(b), n)
+			return nil
+		}
+		t := b[:n]
+		b = b[n:]
+		return t
+	}
+	f.Key, f.ID = string(text()), string(text())
+	if t := text(); len(t) > 0 {
+		f.Result = append([]byte(nil), t...)
+	}
+	if err == nil && (len(b) != 0 || f.Stage > handover.Failed || f.Key == "" || f.Window < 0) {
+		err = errFrame
+	}
+	return m, err
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -23,6 +23,7 @@
 	"silverpath/internal/interp"
 	"silverpath/internal/mgmt"
 	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/pair"
 	"silverpath/internal/pools"
 	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
@@ -44,6 +45,10 @@
 	listenOn = 50 * time.Millisecond
 	// settle is for what may still be under way on the connections when everything read has been answered.
 	settle = 100 * time.Millisecond
+	// A process that another one takes over from is killed so long after the longest deadline, which counts as no more
+	// than mostReplaced.
+	replacedGrace = 700 * time.Millisecond
+	mostReplaced  = 3 * time.Second
 )
 
 // Budget is how the descriptors are shared out.
@@ -51,11 +56,14 @@
 
 // budget shares out the descriptors, those that the configuration needs.
 func budget(c settings.Config) Budget {
-	n := c.Sockets - spareFDs
+	own := spareFDs
 	if c.Mgmt != "" {
-		n -= mgmt.Most // its own, whatever clients do
+		own += mgmt.Most // its own, whatever clients do
 	}
-	n = max(8, n)
+	if c.Socket > 0 {
+		own *= 2 // another process starts beside this one, before any share is given up
+	}
+	n := max(8, c.Sockets-own)
 	b := Budget{Platform: n * 3 / 5} // balancers open up to half of the limit
 	if c.SCGI.Listen != "" {
 		b.Platform, b.SCGI = n*2/5, n/5
@@ -68,6 +76,9 @@
 	} else if c.Vault != "" {
 		b.Vault = n * 2 / 5
 	}
+	if c.Socket > 0 {
+		b.Vault, b.Upstream = b.Vault/2, b.Upstream/2 // each of two processes has as many
+	}
 	return b
 }
 
@@ -84,11 +95,19 @@
 	link      *interp.Link         // nil where an application server does the work
 	below     *vault.Client        // likewise
 	fleet     *fleet.Runner        // nil but in a router
+	pair      *pair.Pair           // nil: no process takes over from this one
+	shares    []share              // of the descriptors, by listener
 	worker    *standin.Interpreter // nil but in a start without a configuration
 	reporter  *announce.Reporter   // reports nowhere while its address is empty
 	lead      time.Duration        // from the notice to leave until peers are asked to leave too
 }
 
+// share is a listener's part of the descriptors.
+type share struct {
+	ln   *front.Listener
+	most int
+}
+
 // lead is how long peers are served as before once the service was told to leave: see drain.
 func lead(c settings.Config) time.Duration {
 	return min(time.Duration(serveOn*float64(c.Server.DrainGrace)), c.Stop/2)
@@ -98,7 +117,15 @@
 func New(cfg settings.Config, l *log.Logger) (*Service, error) {
 	s := &Service{cfg: cfg, log: l, stats: &stats.Counters{}, lead: lead(cfg)}
 	var err error
+	var two *core.PairConfig
+	if cfg.Socket > 0 {
+		if s.pair, err = pair.Open(os.TempDir(), cfg.Name, l, s.stats); err != nil {
+			return nil, fmt.Errorf("LB_SOCKET_FD: a place beside other processes: %w", err)
+		}
+		two = s.pair.Config(s.share)
+	}
 	s.core, err = core.New(core.Config{
+		Pair: two,
 		Name: cfg.Name, Settings: cfg.Server, MemoryMB: cfg.MemoryMB, Status: cfg.Edge.Status, Log: l, Stats: s.stats,
 		Pools: poolsOf(cfg), Cell: cfg.Edge.Cell,
 	})
@@ -142,7 +169,13 @@
 	}
 	if cfg.Listen != "" {
 		f := msgpackrpc.New(s.core, l, s.stats)
-		if err := s.listen("listen", msgpackrpc.Name, cfg.Listen, b.Platform, f.Serve); err != nil {
+		if cfg.Socket > 0 {
+			ln, err := front.Inherited(cfg.Socket)
+			if err != nil {
+				return nil, fmt.Errorf("LB_SOCKET_FD: %w", err)
+			}
+			s.add(front.New(msgpackrpc.Name, ln, b.Platform, s.core.IdleAfter, f.Serve, l, s.stats), b.Platform)
+		} else if err := s.listen("listen", msgpackrpc.Name, cfg.Listen, b.Platform, f.Serve); err != nil {
 			return nil, err
 		}
 	}
@@ -153,7 +186,11 @@
 		}
 	}
 	if cfg.SNMP.Listen != "" {
-		s.agent, err = snmp.Listen(cfg.SNMP.Listen, cfg.SNMP.Community, cfg.Name, s.core, l, s.stats)
+		var control func(network, addr string, raw syscall.RawConn) error
+		if s.pair != nil {
+			control = front.ReusePort
+		}
+		s.agent, err = snmp.Listen(cfg.SNMP.Listen, cfg.SNMP.Community, cfg.Name, s.core, l, s.stats, control)
 		if err != nil {
 			s.close()
 			return nil, fmt.Errorf("snmp.listen: %w", err)
@@ -168,6 +205,13 @@
 	}
 	s.reporter = announce.New(cfg.Announce, cfg.Name, s.core.Health, l)
 	s.keep = append(s.keep, s.reporter.Keep)
+	if s.pair != nil {
+		if err := s.pair.Begin(s.core); err != nil {
+			s.close()
+			return nil, fmt.Errorf("LB_SOCKET_FD: a place beside other processes: %w", err)
+		}
+		s.keep = append(s.keep, s.pair.Keep)
+	}
 	return s, nil
 }
 
@@ -233,18 +277,49 @@
 }
 
 func (s *Service) listen(field, name, addr string, most int, handle front.Handler) error {
-	ln, err := front.Listen(name, addr, most, s.core.IdleAfter, handle, s.log, s.stats)
+	var ln *front.Listener
+	var err error
+	if s.pair == nil {
+		ln, err = front.Listen(name, addr, most, s.core.IdleAfter, handle, s.log, s.stats)
+	} else {
+		var open net.Listener
+		if open, err = front.Shared(addr); err == nil {
+			ln = front.New(name, open, most, s.core.IdleAfter, handle, s.log, s.stats)
+		}
+	}
 	if err != nil {
 		s.close()
 		return fmt.Errorf("%s: %w", field, err)
 	}
+	s.add(ln, most)
+	return nil
+}
+
+func (s *Service) add(ln *front.Listener, most int) {
 	if r := s.cfg.Edge.Reserve; r != nil {
 		ln.Reserve(*r)
 	}
 	s.listeners = append(s.listeners, ln)
-	return nil
+	s.shares = append(s.shares, share{ln, most})
+}
+
+// share gives this process a half of the limits while there are two, and all of them otherwise. It is called under the
+// core's lock.
+func (s *Service) share(two bool) {
+	part := 1
+	if two {
+		part = 2
+	}
+	debug.SetMemoryLimit(heapLimit(s.cfg) / int64(part))
+	s.log.Printf("handover: the limits are shared by %d", part)
+	for _, sh := range s.shares {
+		go sh.ln.SetMost(sh.most / part)
+	}
 }
 
+// heapLimit is at how many bytes the collector works harder rather than let the heap grow.
+func heapLimit(cfg settings.Config) int64 { return int64(cfg.MemoryMB * heapShare * (1 << 20)) }
+
 // poolsOf are the pools that a configuration sets up, nil for none.
 func poolsOf(cfg settings.Config) *pools.Config {
 	if !cfg.Edge.PoolsOn() {
@@ -319,7 +394,16 @@
 		go keep(ctx)
 	}
 	for _, l := range s.listeners {
-		go l.Serve()
+		go func() {
+			if s.pair != nil { // what is accepted has to be read: not before this process may take requests
+				select {
+				case <-s.core.Risen():
+				case <-ctx.Done():
+					return
+				}
+			}
+			l.Serve()
+		}()
 	}
 	if s.agent != nil {
 		go s.agent.Serve()
@@ -339,16 +423,34 @@
 // proves that nothing ran, so its caller goes elsewhere without a request having cost a reading here.
 func (s *Service) drain() error {
 	began := time.Now()
-	s.core.Drain(s.cfg.Stop)
-	time.Sleep(s.lead)
+	stop, lead := s.cfg.Stop, s.lead
+	if s.pair != nil {
+		// The platform stops a process that another one takes over from after the longest deadline.
+		longest := time.Duration(0)
+		for _, k := range s.cfg.Server.Classes {
+			longest = max(longest, k.Deadline)
+		}
+		stop = min(stop, min(longest, mostReplaced)+replacedGrace)
+	}
+	if s.core.Successor() {
+		// Whoever connects from now on is taken by the other process, and whoever is told to leave here goes there.
+		s.log.Printf("handover: the other process takes over")
+		s.reporter.Quiet()
+		lead = 0
+		for _, l := range s.listeners {
+			l.Close()
+		}
+	}
+	s.core.Drain(stop)
+	time.Sleep(min(lead, stop/2))
 	for _, l := range s.listeners {
 		l.Drain()
 	}
-	time.Sleep(min(listenOn, s.cfg.Stop/4))
+	time.Sleep(min(listenOn, stop/4))
 	for _, l := range s.listeners {
 		l.Close()
 	}
-	end := time.NewTimer(s.cfg.Stop - exitBefore - time.Since(began))
+	end := time.NewTimer(stop - exitBefore - time.Since(began))
 	defer end.Stop()
 	tick := time.NewTicker(settle)
 	defer tick.Stop()
@@ -388,7 +490,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(cfg.MemoryMB * heapShare * (1 << 20)))
+	debug.SetMemoryLimit(heapLimit(cfg))
 	l := log.New(out, "", log.Lmicroseconds|log.LUTC)
 	s, err := New(cfg, l)
 	if err != nil {
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -34,6 +34,7 @@
 	Edge     Edge
 	Server   silverpath.Settings
 	Gauges   []string // the order of the gauges
+	Socket   int      // descriptor of the listening socket that other processes of this service share; 0: none
 	shape    shape    // of the file
 }
 
@@ -71,6 +72,11 @@
 	if mgmt := os.Getenv("LB_MGMT"); err == nil && c.Mgmt == "" && mgmt != "" {
 		c.Mgmt, err = mgmt, address("LB_MGMT", mgmt)
 	}
+	if fd := os.Getenv("LB_SOCKET_FD"); err == nil && fd != "" && c.Listen != "" {
+		if c.Socket, err = strconv.Atoi(fd); err != nil || c.Socket < 3 {
+			err = fmt.Errorf("LB_SOCKET_FD: no descriptor above 2: %q", fd)
+		}
+	}
 	if err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/snmp/agent.go
+++ b/internal/snmp/agent.go
@@ -1,12 +1,14 @@
 package snmp
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log"
 	"maps"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	"silverpath/internal/core"
@@ -53,9 +55,10 @@
 	began     time.Time
 }
 
-// Listen opens an agent's address.
-func Listen(addr, community, name string, c *core.Core, l *log.Logger, s *stats.Counters) (*Agent, error) {
-	conn, err := net.ListenPacket("udp", addr)
+// Listen opens an agent's address; control, if any, is called on the socket first.
+func Listen(addr, community, name string, c *core.Core, l *log.Logger, s *stats.Counters,
+	control func(network, addr string, raw syscall.RawConn) error) (*Agent, error) {
+	conn, err := (&net.ListenConfig{Control: control}).ListenPacket(context.Background(), "udp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/snmp/snmp_test.go
+++ b/internal/snmp/snmp_test.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a, err := Listen("127.0.0.1:0", "quiz", "n3", c, quiet, s)
+	a, err := Listen("127.0.0.1:0", "quiz", "n3", c, quiet, s, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
