A key is one request whatever its class is called; the takeover's orders tested

The table of keys had the class's name in the key (keyTable.enter). Now the key alone is the key; body and tenant still have to be the same. A test has the two names.

--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -55,12 +55,13 @@
 	}}
 }
 
-// keyOf is the key under which a keyed request is known, empty for others.
+// keyOf is the key under which a keyed request is known, empty for others. Its class is no part of it: where operators
+// retune, one try may come under the class's old name and the next under the new one.
 func keyOf(k silverpath.Class, r *Request) string {
 	if k.Effect != silverpath.Keyed || r.Key == "" {
 		return ""
 	}
-	return k.Name + "\x00" + r.Key
+	return "\x00" + r.Key
 }
 
 // enter looks up which run a request repeats, and enters it where it is the first of its key. It reports
--- a/internal/core/keys_test.go
+++ b/internal/core/keys_test.go
@@ -209,3 +209,24 @@
 		c.Stop()
 	})
 }
+
+// Operators give a class another name while its requests are tried again: the try under the new name is a try of the
+// same request, whether the first one is held, runs or has ended.
+func TestTryUnderAnotherClass(t *testing.T) {
+	k, t0 := newKeyTable(1<<20), time.Unix(1000, 0)
+	first := tryAt("a", t0)
+	k.enter(first, 0, t0)
+	check := func(when string) {
+		t.Helper()
+		next := tryAt("b", t0.Add(300*time.Millisecond))
+		next.Class, next.class.Name = "oddaja-next", "oddaja-next"
+		if !k.enter(next, 0, next.Reached) || next.stranger || next.repeats == nil || next.repeats.id != "a" {
+			t.Errorf("%s: repeats %+v", when, next.repeats)
+		}
+	}
+	check("held")
+	k.start(first)
+	check("running")
+	k.done(first.flight, silverpath.Canceled, nil, t0.Add(time.Second))
+	check("ended, who knows how")
+}
--- a/internal/core/pair.go
+++ b/internal/core/pair.go
@@ -138,12 +138,7 @@
 func (c *Core) PairAlone(marked func(stamp int64) bool) {
 	c.onPair(func(s *handover.Side) error {
 		was := s.Role()
-		left := s.Peer() != 0 && marked(s.Peer())
-		until := time.Now().Add(ruleSlack)
-		for _, k := range c.set.Load().Classes {
-			until = later(until, time.Now().Add(k.KeyWindow+ruleSlack))
-		}
-		s.Alone(left, until.UnixNano())
+		s.Alone(s.Peer() != 0 && marked(s.Peer()), c.windowEnd())
 		if was != s.Role() && s.Blind() > time.Now().UnixNano() {
 			c.log.Printf("handover: the other process is gone and what it ran is not all known: unknown keys fail for %v",
 				time.Until(time.Unix(0, s.Blind())).Round(time.Second))
@@ -152,6 +147,15 @@
 	})
 }
 
+// windowEnd is when the last try that may repeat a run of before now reaches the machine, in Unix nanoseconds.
+func (c *Core) windowEnd() int64 {
+	longest := time.Duration(0)
+	for _, k := range c.set.Load().Classes {
+		longest = max(longest, k.KeyWindow)
+	}
+	return time.Now().Add(longest + ruleSlack).UnixNano()
+}
+
 // PairLinked is told of a new link and returns its number, for PairOut.
 func (c *Core) PairLinked() (link int) {
 	c.onPair(func(s *handover.Side) error {
@@ -177,7 +181,7 @@
 // if there were no more marks than those.
 func (c *Core) PairMessage(m handover.Message) (clear bool, marks int, err error) {
 	c.onPair(func(s *handover.Side) error {
-		err = s.Receive(m)
+		err = s.Receive(m, c.windowEnd())
 		clear, marks = s.TakeClear()
 		return nil
 	})
--- /dev/null
+++ b/internal/core/pair_test.go
@@ -0,0 +1,382 @@
+package core
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"silverpath"
+	"silverpath/internal/handover"
+	"silverpath/internal/phase"
+	"silverpath/internal/stats"
+)
+
+// half is one process of a pair, without sockets or goroutines: its core's table and decisions, and what it wrote.
+type half struct {
+	c     *Core
+	stamp int64
+	alone bool // as its core was told
+	tries map[string][]*task
+	out   bool // evacuated, as its operators were told
+}
+
+// world is two places, what is on the wire between them, and what has run since both were last empty.
+type world struct {
+	t      *rapid.T
+	procs  [2]*half
+	linked bool
+	link   [2]int
+	wire   [2][]handover.Message // to the process in that place
+	marks  map[int64]bool
+	ran    map[string]string // the result of the one run of a key
+	now    time.Time
+	seq    int
+}
+
+func (w *world) start(i int) {
+	if w.procs[0] == nil && w.procs[1] == nil {
+		w.ran = map[string]string{} // a service that starts from nothing knows nothing
+	}
+	c, err := New(Config{Name: "n", MemoryMB: 64, Log: log.New(io.Discard, "", 0), Stats: &stats.Counters{},
+		Settings: silverpath.Settings{Cores: 1, MemoryKB: 1e6, Classes: []silverpath.Class{keyed}},
+		Pair: &PairConfig{Ring: func() {}, Shared: func(bool) {},
+			Flush: func(int) error { return nil }, Mark: func() error { return nil }}})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.seq++
+	h := &half{c: c, stamp: int64(w.seq), tries: map[string][]*task{}}
+	w.procs[i] = h
+	c.PairPlaced(h.stamp, i)
+	c.Up()
+	w.look(i)
+}
+
+// look is what a process does that has no link: it sees whether the other place is empty.
+func (w *world) look(i int) {
+	h := w.procs[i]
+	if h == nil || w.linked {
+		return
+	}
+	if w.procs[1-i] != nil {
+		h.alone = false
+		h.c.PairOther()
+	} else if !h.alone {
+		h.alone = true
+		w.gone(i)
+	}
+}
+
+func (w *world) gone(i int) {
+	w.procs[i].c.PairAlone(func(stamp int64) bool { return w.marks[stamp] })
+	w.poll(i)
+}
+
+// flush writes what a process has to send. It reports whether it did, on that link.
+func (w *world) flush(i, link int) bool {
+	h := w.procs[i]
+	if h == nil || !w.linked || link != w.link[i] {
+		return false
+	}
+	out, err := h.c.PairOut(link)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.wire[1-i] = append(w.wire[1-i], out...)
+	return true
+}
+
+func (w *world) connect() {
+	if w.linked || w.procs[0] == nil || w.procs[1] == nil {
+		return
+	}
+	w.linked = true
+	for i, h := range w.procs {
+		w.wire[i] = nil
+		w.link[i] = h.c.PairLinked()
+	}
+	w.flush(0, w.link[0])
+	w.flush(1, w.link[1])
+}
+
+// deliver has a process read one message.
+func (w *world) deliver(i int) {
+	if w.procs[i] == nil || len(w.wire[i]) == 0 {
+		return
+	}
+	h, m := w.procs[i], w.wire[i][0]
+	w.wire[i] = w.wire[i][1:]
+	clear, marks, err := h.c.PairMessage(m)
+	if err != nil {
+		w.cut(i)
+		if err == handover.ErrOther {
+			w.gone(i)
+			h.c.PairOther()
+		} else {
+			w.t.Fatalf("a message is refused: %v", err)
+		}
+		return
+	}
+	if clear && w.flush(i, w.link[i]) && h.c.PairMarks() == marks {
+		delete(w.marks, h.stamp)
+	}
+	w.poll(i)
+	w.flush(i, w.link[i])
+}
+
+// cut ends the link; the one who ended it reads no more, the other all that was written.
+func (w *world) cut(by int) {
+	if !w.linked {
+		return
+	}
+	other := 1 - by
+	broke := false
+	for w.linked && w.procs[other] != nil && len(w.wire[other]) > 0 {
+		rest := w.wire[other]
+		m := rest[0]
+		w.wire[other] = rest[1:]
+		if _, _, err := w.procs[other].c.PairMessage(m); err != nil {
+			broke = true
+			break
+		}
+	}
+	w.linked = false
+	unread := len(w.wire[by]) > 0
+	w.wire = [2][]handover.Message{}
+	for i, h := range w.procs {
+		if h != nil {
+			h.c.PairCut(i == by && unread || i == other && broke)
+			w.poll(i)
+		}
+	}
+}
+
+func (w *world) kill(i int) {
+	if w.procs[i] == nil {
+		return
+	}
+	w.procs[i] = nil
+	if w.linked {
+		w.wire[i] = nil
+		w.cut(i)
+	}
+}
+
+// try brings a try of a key to a process.
+func (w *world) try(i int, key string) {
+	h := w.procs[i]
+	if h == nil || h.c.Phase() != phase.Serving && h.c.Phase() != phase.Evacuated {
+		return
+	}
+	w.seq++
+	t := &task{class: keyed, bell: make(chan struct{}, 1), Request: Request{ID: fmt.Sprint("t", w.seq), Class: "oddaja", Key: key,
+		Reached: w.now, Due: w.now.Add(4 * time.Second), Body: []byte(key)}}
+	h.c.mu.Lock()
+	h.c.pair.side.Want(keyOf(keyed, &t.Request))
+	h.c.mu.Unlock()
+	h.tries[key] = append(h.tries[key], t)
+	w.poll(i)
+	w.flush(i, w.link[i])
+}
+
+// poll lets the tries that wait for their key go on where they may, as the core's claim does.
+func (w *world) poll(i int) {
+	h := w.procs[i]
+	if h == nil {
+		return
+	}
+	c := h.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, list := range h.tries {
+		var waiting []*task
+		for _, t := range list {
+			f := handover.Flight{Key: keyOf(keyed, &t.Request), ID: t.ID, Sum: c.keys.sum(t), Reached: w.now.UnixNano(),
+				Until: w.now.Add(time.Hour).UnixNano(), Window: keyed.KeyWindow}
+			v := c.pair.side.Ask(f)
+			c.settlePair()
+			if v == handover.Wait {
+				waiting = append(waiting, t)
+				continue
+			}
+			if v == handover.Own {
+				if !c.keys.enter(t, 0, w.now) || t.stranger {
+					w.t.Fatalf("%s is not entered", key)
+				}
+				if t.repeats != nil && t.repeats.done && t.repeats.ok && string(t.repeats.result) != w.ran[key] {
+					w.t.Fatalf("a repeat of %s gets %q, the run's result is %q", key, t.repeats.result, w.ran[key])
+				}
+			}
+			c.pair.side.Done(f.Key, f.Reached)
+			c.settlePair()
+		}
+		h.tries[key] = waiting
+	}
+}
+
+// own are the runs of a process's own that are at a stage.
+func (w *world) own(i int, stage handover.Stage) []*flight {
+	if w.procs[i] == nil {
+		return nil
+	}
+	var list []*flight
+	for _, key := range []string{"a", "b", "c"} {
+		e := w.procs[i].c.keys.entries["\x00"+key]
+		if e == nil {
+			continue
+		}
+		for _, f := range []*flight{e.held, e.last} {
+			if f != nil && !f.theirs && f.tell().Stage == stage {
+				list = append(list, f)
+			}
+		}
+	}
+	return list
+}
+
+// run begins a run, as far as the other process has to hear of it first.
+func (w *world) run(i int, f *flight, cutBefore bool) {
+	c := w.procs[i].c
+	t := &task{class: keyed, flight: f, Request: Request{ID: f.id, Class: "oddaja", Key: f.entry.key[1:]}}
+	c.mu.Lock()
+	if !c.keys.start(t) {
+		w.t.Fatalf("%s does not start", t.Key)
+	}
+	note, link := c.noteStart(f)
+	c.mu.Unlock()
+	if cutBefore {
+		w.cut(1 - i)
+	}
+	if note == handover.Written && !w.flush(i, link) {
+		c.onPair(func(s *handover.Side) error { s.Unwritten(); return nil })
+		note = handover.Marked
+	}
+	if note == handover.Marked {
+		w.marks[w.procs[i].stamp] = true
+	}
+	if first, twice := w.ran[t.Key]; twice {
+		w.t.Fatalf("%s runs twice: %q is there", t.Key, first)
+	}
+	w.ran[t.Key] = "result of " + f.id
+}
+
+func (w *world) end(i int, f *flight, ok bool) {
+	c := w.procs[i].c
+	c.mu.Lock()
+	out := silverpath.Failed
+	if ok {
+		out = silverpath.OK
+	}
+	c.keys.done(f, out, []byte("result of "+f.id), w.now)
+	c.tellEnd(f)
+	c.mu.Unlock()
+	w.flush(i, w.link[i])
+}
+
+func (w *world) drop(i int, f *flight) {
+	c := w.procs[i].c
+	c.mu.Lock()
+	c.release(&task{class: keyed, flight: f})
+	c.mu.Unlock()
+	w.flush(i, w.link[i])
+}
+
+// heal gives the two, or the one, all the time they need.
+func (w *world) heal() {
+	for range 20 {
+		w.look(0)
+		w.look(1)
+		w.connect()
+		for i := range 2 {
+			w.flush(i, w.link[i])
+			for len(w.wire[i]) > 0 {
+				w.deliver(i)
+			}
+		}
+	}
+}
+
+// Whatever the order in which processes start, die, lose their link, say nothing, and tries come to either: no key runs
+// twice, no repeat gets another result than the run's, and in the end there is one elder, both are ready, and
+// both say the same of an evacuation.
+func TestPairOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, marks: map[int64]bool{}, ran: map[string]string{}, now: time.Now()}
+		w.start(0)
+		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			i := rapid.IntRange(0, 1).Draw(t, "place")
+			switch rapid.SampledFrom([]string{"start", "kill", "connect", "connect", "cut", "deliver", "deliver", "deliver", "deliver",
+				"try", "try", "run", "run", "runcut", "end", "end", "drop", "look", "look", "evacuate", "rejoin", "heal"}).Draw(t, "step") {
+			case "start":
+				if w.procs[i] == nil {
+					w.start(i)
+				}
+			case "kill":
+				w.kill(i)
+			case "connect":
+				w.connect()
+			case "cut":
+				w.cut(i)
+			case "deliver":
+				w.deliver(i)
+			case "look":
+				w.look(i)
+			case "heal":
+				w.heal()
+			case "try":
+				w.try(i, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"))
+			case "run", "runcut":
+				if list := w.own(i, handover.Held); len(list) > 0 {
+					w.run(i, list[0], rapid.Bool().Draw(t, "cut"))
+				}
+			case "end":
+				if list := w.own(i, handover.Running); len(list) > 0 {
+					w.end(i, list[0], rapid.Bool().Draw(t, "ok"))
+				}
+			case "drop":
+				if list := w.own(i, handover.Held); len(list) > 0 {
+					w.drop(i, list[0])
+				}
+			case "evacuate":
+				if w.procs[i] != nil {
+					w.procs[i].c.state.happens(phase.Evacuate)
+					w.procs[i].c.tellOut()
+				}
+			case "rejoin":
+				if w.procs[i] != nil {
+					w.procs[i].c.state.happens(phase.Rejoin)
+					w.procs[i].c.tellOut()
+				}
+			}
+		}
+		w.heal()
+		elders, alive := 0, 0
+		for i, h := range w.procs {
+			if h == nil {
+				continue
+			}
+			alive++
+			if r := h.c.PairRole(); r == handover.Elder || r == handover.Sole {
+				elders++
+			}
+			if p := h.c.Phase(); p != phase.Serving && p != phase.Evacuated {
+				t.Fatalf("place %d is %v, and %v", i, p, h.c.PairRole())
+			}
+			for key, list := range h.tries {
+				if len(list) > 0 {
+					t.Fatalf("place %d: a try of %s still waits", i, key)
+				}
+			}
+		}
+		if alive > 0 && elders != 1 {
+			t.Fatalf("%d elders of %d", elders, alive)
+		}
+		if alive == 2 && w.procs[0].c.Health() != w.procs[1].c.Health() {
+			t.Fatal("one is evacuated and the other is not")
+		}
+	})
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -69,7 +69,9 @@
 	Stamp  int64 // Hello: of the sender's start
 	Sole   bool  // Hello: it served alone
 	Out    bool  // Hello, Status: evacuated
+	OutSeq int64 // Hello, Status: the number of that change, of all that either knew of
 	Ready  bool  // Hello, Status: ready to serve
+	Blind  int64 // Hello: until when requests that come may repeat a run that the sender does not know
 	Flight Flight
 }
 
@@ -129,6 +131,7 @@
 	peerReady bool
 	ready     bool
 	out       bool
+	outSeq    int64
 	saw       bool  // there was another
 	blind     int64 // requests that reached the machine until then (Unix nanoseconds) may repeat a run that is not known here
 	marks     int
@@ -230,7 +233,8 @@
 	s.linked, s.met, s.whole = true, false, false
 	s.fx.Send = nil
 	clear(s.listed)
-	s.send(Message{Kind: Hello, Stamp: s.stamp, Sole: s.role == Sole || s.role == Elder, Out: s.out, Ready: s.ready})
+	s.send(Message{Kind: Hello, Stamp: s.stamp, Sole: s.role == Sole || s.role == Elder, Out: s.out, OutSeq: s.outSeq, Ready: s.ready,
+		Blind: s.blind})
 }
 
 // Cut is told when the link is gone, and the other not known to be dead. Unread says that something that the other
@@ -248,8 +252,9 @@
 	}
 }
 
-// Receive takes a message of the other's. An error means that the link is no good.
-func (s *Side) Receive(m Message) error {
+// Receive takes a message of the other's. An error means that the link is no good. What reaches the machine until the
+// given time may repeat a run from before, where neither knows of all of those.
+func (s *Side) Receive(m Message, until int64) error {
 	if !s.linked {
 		return nil // of a link that is gone
 	}
@@ -258,7 +263,7 @@
 	}
 	switch m.Kind {
 	case Hello:
-		return s.hello(m)
+		return s.hello(m, until)
 	case Status:
 		s.status(m)
 	case Run:
@@ -288,7 +293,7 @@
 }
 
 // hello settles who is the elder: who served alone, else who started first.
-func (s *Side) hello(m Message) error {
+func (s *Side) hello(m Message, until int64) error {
 	if s.peer != 0 && s.peer != m.Stamp && s.Pair() {
 		return ErrOther
 	}
@@ -296,21 +301,21 @@
 	if elder && m.Sole {
 		return fmt.Errorf("both have served alone")
 	}
-	if !elder && !m.Sole {
+	if !elder && !m.Sole && s.role == Joining {
+		// Each saw another before it served, and neither knows what had run by then.
+		s.blind = max(s.blind, until)
 		elder = s.stamp < m.Stamp || s.stamp == m.Stamp && s.slot == 0
 	}
 	if s.role == Younger && elder {
 		return fmt.Errorf("the elder says that it is the younger")
 	}
 	s.peer, s.met = m.Stamp, true
+	s.blind = max(s.blind, m.Blind)
 	if s.role = Younger; elder {
 		s.role = Elder
-	} else if m.Out != s.out {
-		s.out = m.Out
-		s.fx.Out = &m.Out
 	}
-	s.peerReady = m.Ready
-	s.fx.Changed = true
+	s.status(m)
+	s.tell() // what has changed since this one's own Hello
 	for _, f := range s.keys.Own() {
 		s.send(Message{Kind: Run, Flight: f})
 	}
@@ -321,16 +326,19 @@
 
 func (s *Side) status(m Message) {
 	s.peerReady = m.Ready
-	if m.Out != s.out {
-		s.out = m.Out
-		s.fx.Out = &m.Out
+	// Of two changes at once the elder's holds.
+	if m.OutSeq > s.outSeq || m.OutSeq == s.outSeq && s.role == Younger {
+		if s.outSeq = m.OutSeq; m.Out != s.out {
+			s.out = m.Out
+			s.fx.Out = &m.Out
+		}
 	}
 	s.fx.Changed = true
 }
 
 func (s *Side) tell() {
 	if s.met {
-		s.send(Message{Kind: Status, Out: s.out, Ready: s.ready})
+		s.send(Message{Kind: Status, Out: s.out, OutSeq: s.outSeq, Ready: s.ready})
 	}
 }
 
@@ -338,6 +346,7 @@
 func (s *Side) Evacuated(out bool) {
 	if s.out != out {
 		s.out = out
+		s.outSeq++
 		s.tell()
 	}
 }
@@ -367,11 +376,13 @@
 func (s *Side) Ask(f Flight) Verdict {
 	_, known := s.keys.Holds(f.Key, f.Reached)
 	switch {
-	case s.role == Elder, known && s.role != Joining:
+	case s.role == Joining:
+		return Wait
+	case known:
 		return Own
-	case s.role == Sole && f.Reached <= s.blind:
+	case f.Reached <= s.blind:
 		return Never
-	case s.role == Sole:
+	case s.role != Younger:
 		return Own
 	}
 	c := s.claims[f.Key]
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -179,6 +179,7 @@
 // serve is the life of one link.
 func (p *Pair) serve(ctx context.Context, conn net.Conn) {
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	p.alone, p.saw = false, true // whoever spoke may be dead before its place was looked at
 	p.writing.Lock()
 	p.conn, p.link = conn, p.core.PairLinked()
 	p.writing.Unlock()
--- /dev/null
+++ b/internal/pair/pair_test.go
@@ -0,0 +1,351 @@
+package pair
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"silverpath"
+	"silverpath/internal/core"
+	"silverpath/internal/handover"
+	"silverpath/internal/phase"
+	"silverpath/internal/stats"
+)
+
+// worker notes what is run; runs end when the test says so.
+type worker struct {
+	core *core.Core
+	mu   sync.Mutex
+	runs []string
+}
+
+func (w *worker) Run(id, _ string, _ []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs = append(w.runs, id)
+}
+func (w *worker) Resume(string, []byte) {}
+func (w *worker) Probe()                { w.core.Gauges(silverpath.Gauges{}) }
+
+func (w *worker) ran() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.runs...)
+}
+
+// proc is a process of the service, in this one.
+type proc struct {
+	*worker
+	pair  *Pair
+	stats *stats.Counters
+	die   func() // as a process does: its link and its place are gone
+	log   *bytes.Buffer
+}
+
+func start(t *testing.T, dir string) *proc {
+	t.Helper()
+	s := &stats.Counters{}
+	l := log.New(io.Discard, "", 0)
+	p, err := Open(dir, "n1", l, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := core.New(core.Config{Name: "n1", MemoryMB: 64, Log: l, Stats: s, Pair: p.Config(func(bool) {}),
+		Settings: silverpath.Settings{Cores: 4, MemoryKB: 1e6, CrowdLimit: 8, Classes: []silverpath.Class{{Name: "oddaja",
+			Aim: 20 * time.Second, Deadline: 30 * time.Second, Worth: 1, Effect: silverpath.Keyed, KeyWindow: 10 * time.Second}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &worker{core: c}
+	if err := c.Attach(w, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Begin(c); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() { defer close(over); p.Keep(ctx) }()
+	c.Up()
+	q := &proc{worker: w, pair: p, stats: s}
+	q.die = sync.OnceFunc(func() {
+		cancel()
+		<-over
+		p.places.close()
+		c.Stop()
+	})
+	t.Cleanup(q.die)
+	return q
+}
+
+func await(t *testing.T, what string, yes func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !yes(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in 20 s: %s", what)
+		}
+	}
+}
+
+func (p *proc) serves() bool { return p.core.Phase() == phase.Serving }
+
+func (p *proc) try(id, key string, reached time.Time) chan core.Answer {
+	answer := make(chan core.Answer, 1)
+	go p.core.Serve(core.Request{Front: "test", ID: id, Class: "oddaja", Key: key, HeldKB: 1, Body: []byte(key),
+		Reached: reached, Due: time.Now().Add(20 * time.Second)}, func(a core.Answer) { answer <- a })
+	return answer
+}
+
+func want(t *testing.T, what string, answer chan core.Answer, out core.Outcome, body string) {
+	t.Helper()
+	select {
+	case a := <-answer:
+		if a.Outcome != out || string(a.Body) != body {
+			t.Errorf("%s: %v %q, want %v %q", what, a.Outcome, a.Body, out, body)
+		}
+	case <-time.After(25 * time.Second):
+		t.Fatalf("%s: no answer", what)
+	}
+}
+
+// A repeat that reaches the newer process while its first try runs in the older one, after it ended there, and after the
+// older one has left, gets that run's result, and so does one the other way round.
+func TestRepeats(t *testing.T) {
+	dir := t.TempDir()
+	a := start(t, dir)
+	await(t, "the first serves", a.serves)
+	now := time.Now()
+	first := a.try("a1", "k", now)
+	await(t, "the run begins", func() bool { return len(a.ran()) == 1 })
+	b := start(t, dir)
+	await(t, "the second serves", b.serves)
+	if r, s := a.core.PairRole(), b.core.PairRole(); r != handover.Elder || s != handover.Younger || !a.core.Successor() || b.core.Successor() {
+		t.Fatalf("%v and %v", r, s)
+	}
+	during := b.try("b1", "k", now)
+	await(t, "the repeat is linked", func() bool { return b.stats.Get("repeats", "test", "oddaja") == 1 })
+	a.core.Ended("a1", silverpath.OK, time.Millisecond, []byte("done"))
+	want(t, "the first", first, core.Served, "done")
+	want(t, "a repeat meanwhile", during, core.Served, "done")
+	want(t, "a repeat afterwards", b.try("b2", "k", now), core.Served, "done")
+
+	other := b.try("b3", "l", now)
+	await(t, "the younger runs what it was granted", func() bool { return len(b.ran()) == 1 })
+	back := a.try("a2", "l", now)
+	await(t, "the repeat is linked", func() bool { return a.stats.Get("repeats", "test", "oddaja") == 1 })
+	b.core.Ended("b3", silverpath.OK, time.Millisecond, []byte("more"))
+	want(t, "the younger's", other, core.Served, "more")
+	want(t, "the elder's repeat", back, core.Served, "more")
+
+	a.die()
+	await(t, "the second is alone", func() bool { return b.core.PairRole() == handover.Sole })
+	want(t, "a repeat after the elder has left", b.try("b4", "k", now), core.Served, "done")
+	want(t, "and of its own", b.try("b5", "l", now), core.Served, "more")
+	if len(a.ran()) != 1 || len(b.ran()) != 1 {
+		t.Errorf("%v and %v ran", a.ran(), b.ran())
+	}
+	fresh := b.try("b6", "m", now)
+	await(t, "new keys run at once", func() bool { return len(b.ran()) == 2 })
+	b.core.Ended("b6", silverpath.OK, 0, nil)
+	want(t, "a new key", fresh, core.Served, "")
+}
+
+// The elder dies while its run is under way: repeats fail, and never run again. What it never ran may.
+func TestElderDies(t *testing.T) {
+	dir := t.TempDir()
+	a := start(t, dir)
+	b := start(t, dir)
+	await(t, "both serve", func() bool { return a.serves() && b.serves() })
+	now := time.Now()
+	a.try("a1", "k", now)
+	await(t, "the run begins", func() bool { return len(a.ran()) == 1 })
+	waits := b.try("b1", "k", now)
+	await(t, "the repeat is linked", func() bool { return b.stats.Get("repeats", "test", "oddaja") == 1 })
+	a.die()
+	want(t, "who waits for it", waits, core.Failed, "")
+	want(t, "who comes later", b.try("b2", "k", now), core.Failed, "")
+	fresh := b.try("b3", "l", now)
+	await(t, "what it never ran is run", func() bool { return len(b.ran()) == 1 })
+	b.core.Ended("b3", silverpath.OK, 0, []byte("x"))
+	want(t, "what it never ran", fresh, core.Served, "x")
+}
+
+// The younger dies with a run that it was granted: the elder fails its repeats. What the younger refused is free again.
+func TestYoungerDies(t *testing.T) {
+	dir := t.TempDir()
+	a := start(t, dir)
+	b := start(t, dir)
+	await(t, "both serve", func() bool { return a.serves() && b.serves() })
+	now := time.Now()
+	b.try("b1", "k", now)
+	await(t, "the run begins", func() bool { return len(b.ran()) == 1 })
+	waits := a.try("a1", "k", now)
+	b.die()
+	want(t, "who waits for it", waits, core.Failed, "")
+	want(t, "who comes later", a.try("a2", "k", now), core.Failed, "")
+	c := start(t, dir)
+	await(t, "a third serves in its place", c.serves)
+	want(t, "and knows of it", c.try("c1", "k", now), core.Failed, "")
+	if len(a.ran()) != 0 || len(c.ran()) != 0 {
+		t.Errorf("%v and %v ran", a.ran(), c.ran())
+	}
+}
+
+// The link is cut: the elder runs on and leaves a mark, the younger waits for a key that it does not know. Then the
+// link is back and all is known. If the elder dies before, the younger fails what it can't know.
+func TestCut(t *testing.T) {
+	for _, back := range []bool{true, false} {
+		t.Run(fmt.Sprint("back ", back), func(t *testing.T) {
+			dir := t.TempDir()
+			a := start(t, dir)
+			b := start(t, dir)
+			await(t, "both serve", func() bool { return a.serves() && b.serves() })
+			b.pair.writing.Lock() // the younger does not come to speak on the next link
+			a.pair.writing.Lock()
+			a.pair.conn.Close()
+			a.pair.writing.Unlock()
+			now := time.Now()
+			first := a.try("a1", "k", now)
+			await(t, "the elder runs on", func() bool { return len(a.ran()) == 1 })
+			marks, _ := filepath.Glob(filepath.Join(dir, "*.mark.*"))
+			if len(marks) != 1 {
+				t.Errorf("marks: %v", marks)
+			}
+			waits := b.try("b1", "l", now)
+			if back {
+				b.pair.writing.Unlock()
+				await(t, "the key is granted on the next link", func() bool { return len(b.ran()) == 1 })
+				b.core.Ended("b1", silverpath.OK, 0, []byte("l"))
+				want(t, "who waited", waits, core.Served, "l")
+				a.core.Ended("a1", silverpath.OK, 0, []byte("k"))
+				want(t, "the elder's", first, core.Served, "k")
+				want(t, "its repeat", b.try("b2", "k", now), core.Served, "k")
+				await(t, "the mark is gone", func() bool { _, err := os.Stat(marks[0]); return os.IsNotExist(err) })
+				return
+			}
+			a.die()
+			b.pair.writing.Unlock()
+			want(t, "who waited", waits, core.Failed, "")
+			want(t, "a repeat of what it can't know", b.try("b2", "k", now), core.Failed, "")
+			fresh := b.try("b3", "n", now.Add(11*time.Second)) // past the window of all that the elder may have run
+			await(t, "what comes after the window is run", func() bool { return len(b.ran()) == 1 })
+			b.core.Ended("b3", silverpath.OK, 0, nil)
+			want(t, "what comes after the window", fresh, core.Served, "")
+		})
+	}
+}
+
+// A third process has no place and is not ready until one of two is gone; what dead ones left behind is in nobody's way.
+func TestThird(t *testing.T) {
+	dir := t.TempDir()
+	stale := start(t, dir)
+	stale.pair.places.mark(1)
+	if err := os.WriteFile(stale.pair.places.mark(1), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	stale.die()
+	if ln, err := net.Listen("unix", filepath.Join(dir, stale.pair.places.stem+".0.sock")); err != nil {
+		t.Fatal(err)
+	} else {
+		ln.(*net.UnixListener).SetUnlinkOnClose(false)
+		ln.Close() // a socket that nobody listens on
+	}
+	a := start(t, dir)
+	await(t, "the first serves beside stale files", a.serves)
+	b := start(t, dir)
+	await(t, "the second serves", b.serves)
+	c := start(t, dir)
+	time.Sleep(5 * lookEvery)
+	if ready, why := c.core.Ready(); ready || why == "" || c.stats.Get("handover", "third") != 1 {
+		t.Fatalf("the third is ready: %q", why)
+	}
+	a.die()
+	await(t, "the third has the place", c.serves)
+	if b.core.PairRole() != handover.Elder || c.core.PairRole() != handover.Younger {
+		t.Errorf("%v and %v", b.core.PairRole(), c.core.PairRole())
+	}
+}
+
+// An evacuation holds for both, and for one that starts meanwhile.
+func TestEvacuation(t *testing.T) {
+	dir := t.TempDir()
+	a := start(t, dir)
+	await(t, "the first serves", a.serves)
+	a.core.Evacuate()
+	b := start(t, dir)
+	await(t, "the second is evacuated", func() bool { return b.core.Phase() == phase.Evacuated })
+	if yes, _ := b.core.Rejoin(); !yes {
+		t.Error("no rejoin")
+	}
+	await(t, "both are back", func() bool { return a.core.Health() && b.core.Health() })
+}
+
+var samples = []handover.Message{
+	{Kind: handover.Hello, Stamp: 1764576000123456789, OutSeq: 3, Blind: 9, Sole: true, Ready: true},
+	{Kind: handover.Status, Out: true},
+	{Kind: handover.Whole},
+	{Kind: handover.Run, Flight: handover.Flight{Key: "oddaja\x00k", ID: "9b1f", Sum: 1 << 63, Reached: -1, Until: 7,
+		Window: time.Second, Stage: handover.Passed, Result: []byte("result")}},
+	{Kind: handover.Claim, Flight: handover.Flight{Key: "k"}},
+}
+
+// Frames come whole from whatever pieces they come in, and a cut one is an error.
+func TestFrames(t *testing.T) {
+	var all []byte
+	for _, m := range samples {
+		all = appendMessage(all, m)
+	}
+	r := bufio.NewReaderSize(oneByte{bytes.NewReader(all)}, 16)
+	var frame []byte
+	for _, m := range samples {
+		got, f, err := readMessage(r, frame)
+		if frame = f; err != nil || !reflect.DeepEqual(got, m) {
+			t.Fatalf("%+v, %v, want %+v", got, err, m)
+		}
+	}
+	whole := appendMessage(nil, samples[3])
+	for i := 1; i < len(whole); i++ {
+		if _, _, err := readMessage(bufio.NewReader(bytes.NewReader(whole[:i])), nil); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Fatalf("cut at %d: %v", i, err)
+		}
+	}
+	for _, bad := range []string{"\xff\xff\xff\xff", "\x00\x00\x00\x02\x01\x01", "\x00\x00\x00\x03\x02\x01\x00",
+		"\x00\x00\x00\x03\x01\x09\x00", "\x00\x00\x00\x04\x01\x01\x00\x00", "\x00\x00\x00\x04\x01\x05\x00\x00", "\x00\x00\x00\x03\x01\x03\x00"} {
+		if _, _, err := readMessage(bufio.NewReader(strings.NewReader(bad)), nil); !errors.Is(err, errFrame) {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
+
+type oneByte struct{ r io.Reader }
+
+func (o oneByte) Read(b []byte) (int, error) { return o.r.Read(b[:min(1, len(b))]) }
+
+func FuzzFrame(f *testing.F) {
+	for _, m := range samples {
+		f.Add(appendMessage(nil, m)[4:])
+	}
+	f.Add([]byte{1, 4, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := parseMessage(b)
+		if err != nil {
+			return
+		}
+		again, err := parseMessage(appendMessage(nil, m)[4:])
+		if err != nil || !reflect.DeepEqual(again, m) {
+			t.Fatalf("%+v becomes %+v, %v", m, again, err)
+		}
+	})
+}
--- a/internal/pair/wire.go
+++ b/internal/pair/wire.go
@@ -11,7 +11,7 @@
 	"silverpath/internal/handover"
 )
 
-// A frame is its length as four bytes, then a version, the kind, flags, and what the kind brings: a stamp, or a run as
+// A frame is its length as four bytes, then a version, the kind, flags, and what the kind brings: a stamp and the number of a change, or a run as
 // numbers of eight bytes and as texts with their length before them. All numbers are big-endian.
 const (
 	version   = 1
@@ -34,6 +34,10 @@
 	switch m.Kind {
 	case handover.Hello:
 		b = binary.BigEndian.AppendUint64(b, uint64(m.Stamp))
+		b = binary.BigEndian.AppendUint64(b, uint64(m.OutSeq))
+		b = binary.BigEndian.AppendUint64(b, uint64(m.Blind))
+	case handover.Status:
+		b = binary.BigEndian.AppendUint64(b, uint64(m.OutSeq))
 	case handover.Run, handover.Gone, handover.Claim, handover.Grant, handover.Taken:
 		f := m.Flight
 		for _, n := range []uint64{f.Sum, uint64(f.Reached), uint64(f.Until), uint64(f.Window)} {
@@ -76,6 +80,9 @@
 		have := len(frame)
 		frame = append(frame, make([]byte, min(inChunks, n-have))...)
 		if _, err = io.ReadFull(r, frame[have:]); err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
 			return m, frame, fmt.Errorf("in a frame: %w", err)
 		}
 	}
@@ -92,12 +99,19 @@
 	b = b[3:]
 	switch m.Kind {
 	case handover.Hello:
-		if len(b) != 8 {
+		if len(b) != 24 {
 			return m, fmt.Errorf("%w: hello of %d bytes", errFrame, len(b))
 		}
-		m.Stamp = int64(binary.BigEndian.Uint64(b))
+		m.Stamp, m.OutSeq = int64(binary.BigEndian.Uint64(b)), int64(binary.BigEndian.Uint64(b[8:]))
+		m.Blind = int64(binary.BigEndian.Uint64(b[16:]))
+		return m, nil
+	case handover.Status:
+		if len(b) != 8 {
+			return m, fmt.Errorf("%w: status of %d bytes", errFrame, len(b))
+		}
+		m.OutSeq = int64(binary.BigEndian.Uint64(b))
 		return m, nil
-	case handover.Status, handover.Whole:
+	case handover.Whole:
 		if len(b) != 0 {
 			return m, fmt.Errorf("%w: %d bytes too many", errFrame, len(b))
 		}
