--- a/internal/core/pair_test.go
+++ b/internal/core/pair_test.go
@@ -26,7 +26,7 @@
 
 // world is two places, what is on the wire between them, and what has run since both were last empty.
 type world struct {
-	t      *rapid.T
+	t      rapid.TB
 	procs  [2]*half
 	linked bool
 	link   [2]int
@@ -183,8 +183,9 @@
 	w.flush(i, w.link[i])
 }
 
-// poll lets the tries that wait for their key go on where they may, as the core's claim does.
-func (w *world) poll(i int) {
+// poll lets tries that wait for their key go on where they may, as the core's claim does: one of each key, as their
+// goroutines wake in any order, or all.
+func (w *world) poll(i int, all ...bool) {
 	h := w.procs[i]
 	if h == nil {
 		return
@@ -194,7 +195,11 @@
 	defer c.mu.Unlock()
 	for key, list := range h.tries {
 		var waiting []*task
-		for _, t := range list {
+		for n, t := range list {
+			if n > 0 && len(all) == 0 {
+				waiting = append(waiting, t)
+				continue
+			}
 			f := handover.Flight{Key: keyOf(keyed, &t.Request), ID: t.ID, Sum: c.keys.sum(t), Reached: w.now.UnixNano(),
 				Until: w.now.Add(time.Hour).UnixNano(), Window: keyed.KeyWindow}
 			v := c.pair.side.Ask(f)
@@ -296,6 +301,7 @@
 			for len(w.wire[i]) > 0 {
 				w.deliver(i)
 			}
+			w.poll(i, true)
 		}
 	}
 }
@@ -310,7 +316,7 @@
 		for range rapid.IntRange(10, 80).Draw(t, "steps") {
 			i := rapid.IntRange(0, 1).Draw(t, "place")
 			switch rapid.SampledFrom([]string{"start", "kill", "connect", "connect", "cut", "deliver", "deliver", "deliver", "deliver",
-				"try", "try", "run", "run", "runcut", "end", "end", "drop", "look", "look", "evacuate", "rejoin", "heal"}).Draw(t, "step") {
+				"try", "try", "run", "run", "runcut", "end", "end", "drop", "look", "look", "evacuate", "rejoin", "heal", "poll", "poll"}).Draw(t, "step") {
 			case "start":
 				if w.procs[i] == nil {
 					w.start(i)
@@ -325,6 +331,9 @@
 				w.deliver(i)
 			case "look":
 				w.look(i)
+			case "poll":
+				w.poll(i)
+				w.flush(i, w.link[i])
 			case "heal":
 				w.heal()
 			case "try":
@@ -380,3 +389,86 @@
 		}
 	})
 }
+
+// The orders that random ones seldom come to, each with what must not happen in it.
+func TestPairScripts(t *testing.T) {
+	type step struct {
+		do  string
+		at  int
+		key string
+	}
+	for name, script := range map[string][]step{
+		"the elder runs without a link, dies, and the repeat goes to the younger": {
+			{"start", 1, ""}, {"heal", 0, ""}, {"cut", 0, ""}, {"try", 0, "a"}, {"run", 0, "a"}, {"kill", 0, ""}, {"look", 1, ""},
+			{"try", 1, "a"}, {"none", 1, "a"}, {"heal", 1, ""}},
+		"the link breaks as the elder's note is written": {
+			{"start", 1, ""}, {"heal", 0, ""}, {"try", 0, "a"}, {"runcut", 0, "a"}, {"kill", 0, ""}, {"look", 1, ""},
+			{"try", 1, "a"}, {"none", 1, "a"}, {"heal", 1, ""}},
+		"what was marked is told on the next link": {
+			{"start", 1, ""}, {"heal", 0, ""}, {"cut", 0, ""}, {"try", 0, "a"}, {"run", 0, "a"}, {"heal", 0, ""}, {"kill", 0, ""},
+			{"look", 1, ""}, {"try", 1, "b"}, {"held", 1, "b"}, {"try", 1, "a"}, {"none", 1, "a"}},
+		"two tries have a grant, the first is turned away, and the elder runs the key": {
+			{"start", 1, ""}, {"heal", 0, ""}, {"try", 1, "a"}, {"try", 1, "a"}, {"deliver", 0, ""}, {"deliver", 1, ""},
+			{"drop", 1, "a"}, {"deliver", 0, ""}, {"try", 0, "a"}, {"run", 0, "a"}, {"poll", 1, ""}, {"none", 1, "a"}, {"heal", 0, ""}},
+		"a grant is lost with the link, and the elder runs the key": {
+			{"start", 1, ""}, {"heal", 0, ""}, {"try", 1, "a"}, {"deliver", 0, ""}, {"cut", 1, ""}, {"heal", 0, ""}, {"held", 1, "a"}},
+		"a process starts beside one that knows nothing of a dead one": {
+			{"try", 0, "a"}, {"run", 0, "a"}, {"start", 1, ""}, {"kill", 0, ""}, {"start", 0, ""}, {"kill", 1, ""}, {"start", 1, ""},
+			{"heal", 0, ""}, {"try", 0, "a"}, {"try", 1, "a"}, {"heal", 0, ""}, {"none", 0, "a"}, {"none", 1, "a"}},
+		"the younger runs what it was said to hold, and dies": {
+			{"start", 1, ""}, {"heal", 0, ""}, {"try", 1, "a"}, {"deliver", 0, ""}, {"deliver", 1, ""}, {"cut", 0, ""}, {"heal", 0, ""},
+			{"run", 1, "a"}, {"kill", 1, ""}, {"look", 0, ""}, {"try", 0, "a"}, {"none", 0, "a"}},
+		"the younger gives the link up with a note unread, and the elder dies": {
+			{"start", 1, ""}, {"heal", 0, ""}, {"try", 0, "a"}, {"run", 0, "a"}, {"cut", 1, ""}, {"kill", 0, ""}, {"look", 1, ""},
+			{"try", 1, "a"}, {"none", 1, "a"}},
+		"blindness is passed on": {
+			{"start", 1, ""}, {"heal", 0, ""}, {"cut", 0, ""}, {"try", 0, "a"}, {"run", 0, "a"}, {"kill", 0, ""}, {"look", 1, ""},
+			{"start", 0, ""}, {"heal", 0, ""}, {"kill", 1, ""}, {"look", 0, ""}, {"try", 0, "a"}, {"none", 0, "a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &world{t: t, marks: map[int64]bool{}, ran: map[string]string{}, now: time.Now()}
+			w.start(0)
+			for n, s := range script {
+				find := func(stage handover.Stage) *flight {
+					for _, f := range w.own(s.at, stage) {
+						if f.entry.key == "\x00"+s.key {
+							return f
+						}
+					}
+					return nil
+				}
+				held := find(handover.Held)
+				if (s.do == "run" || s.do == "runcut" || s.do == "drop" || s.do == "held") && held == nil {
+					t.Fatalf("step %d: %s is not held", n, s.key)
+				}
+				switch s.do {
+				case "start":
+					w.start(s.at)
+				case "kill":
+					w.kill(s.at)
+				case "cut":
+					w.cut(s.at)
+				case "look":
+					w.look(s.at)
+				case "heal":
+					w.heal()
+				case "deliver":
+					w.deliver(s.at)
+				case "poll":
+					w.poll(s.at)
+					w.flush(s.at, w.link[s.at])
+				case "try":
+					w.try(s.at, s.key)
+				case "run", "runcut":
+					w.run(s.at, held, s.do == "runcut")
+				case "drop":
+					w.drop(s.at, held)
+				case "none":
+					if held != nil {
+						t.Fatalf("step %d: %s is held, and would run", n, s.key)
+					}
+				}
+			}
+		})
+	}
+}
