--- a/shedder.go
+++ b/shedder.go
@@ -121,8 +121,8 @@
 	s.learnFrom = max(s.learnFrom, s.started)
 }
 
-// Retune takes up other settings, whole or not at all. Requests in hand keep the class they came with; one under the
-// name of a class that was dropped meanwhile starts clean. What runs here started when it did, whatever is told.
+// Retune takes up other settings, whole or not at all. Requests in hand keep the class they came with; one
+// that comes back under a name that was dropped starts clean. The server started when it did, as before.
 func (s *Shedder) Retune(now time.Duration, set Settings) error {
 	s.at(now)
 	if err := check(&set); err != nil {
