--- a/internal/lab/bench_test.go
+++ b/internal/lab/bench_test.go
@@ -9,3 +9,4 @@
 func BenchmarkProbes(b *testing.B)    { Probes(b) }
 func BenchmarkCells(b *testing.B)     { Cells(b) }
 func BenchmarkOperators(b *testing.B) { Operators(b) }
+func BenchmarkTakeover(b *testing.B)  { Takeover(b) }
