Nobody waits unread at a held socket in a drain; the suite of rules on both of two processes

A process told to leave with no successor closed its end of the socket that the platform holds, which refuses nobody: who connected then waited, unread (service.drain; a try at 550 ms of 1 s got no answer in 3 s). It now takes him and turns him away until 260 ms before the stop, or until a successor is ready. A link that ends before all was told is tried again ever later, up to 1 s, not every 20 ms.

--- a/cmd/silverpath/takeover_test.go
+++ b/cmd/silverpath/takeover_test.go
@@ -100,6 +100,7 @@
 type generation struct {
 	cmd  *exec.Cmd
 	mgmt string
+	file string // its configuration
 	mu   sync.Mutex
 	log  bytes.Buffer
 	over chan struct{}
@@ -140,7 +141,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	g := &generation{cmd: exec.Command(exe, "serve"), over: make(chan struct{})}
+	g := &generation{cmd: exec.Command(exe, "serve"), file: file, over: make(chan struct{})}
 	g.cmd.Env = append(os.Environ(), "SILVERPATH_RUN=1", "LB_CONFIG="+file, "LB_SOCKET_FD=3", "TMPDIR="+s.dir)
 	g.cmd.ExtraFiles = []*os.File{s.socket}
 	log, err := g.cmd.StderrPipe()
@@ -477,3 +478,112 @@
 		t.Errorf("%d turned back unheard", l.unheard)
 	}
 }
+
+// Told to leave with nobody to take over, a process on a held socket takes who connects late and turns him away: closing
+// its own end would refuse nobody, and leave him waiting.
+func TestLeaveOnHeldSocket(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real processes")
+	}
+	s := newService(t, 1)
+	g := s.start()
+	g.ready(t)
+	g.cmd.Process.Signal(syscall.SIGTERM)
+	for !strings.Contains(g.text(), "phase draining") {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(550 * time.Millisecond) // past the drain's window of 500 ms, before the stop at 1 s
+	l := &load{s: s, results: map[string]string{}}
+	began := time.Now()
+	l.ask("late", "1")
+	if l.unheard+l.served > 0 || time.Since(began) > 400*time.Millisecond || s.plant.runs["late"] > 0 {
+		t.Errorf("%d unheard, %d served, answered after %v", l.unheard, l.served, time.Since(began))
+	}
+	g.leave(t)
+}
+
+// without returns the text of every configuration that lacks one key, and what that key is called.
+func without(text string) map[string]string {
+	list := map[string]string{}
+	var paths [][]string
+	var visit func(path []string, v *fastjson.Value)
+	visit = func(path []string, v *fastjson.Value) {
+		if v.Type() == fastjson.TypeObject {
+			v.GetObject().Visit(func(key []byte, m *fastjson.Value) {
+				at := append(append([]string(nil), path...), string(key))
+				paths = append(paths, at)
+				visit(at, m)
+			})
+		}
+		for i, m := range v.GetArray() {
+			visit(append(append([]string(nil), path...), strconv.Itoa(i)), m)
+		}
+	}
+	visit(nil, fastjson.MustParse(text))
+	for _, p := range paths {
+		v := fastjson.MustParse(text)
+		v.Get(p[:len(p)-1]...).Del(p[len(p)-1])
+		list[strings.Join(p, ".")] = string(v.MarshalTo(nil))
+	}
+	return list
+}
+
+// Files that are no good, of every kind, come with SIGHUPs under load: each is turned down in one line, nothing changes,
+// nothing is lost, and a good one is taken up afterwards.
+func TestBadFilesUnderLoad(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real processes")
+	}
+	s := newService(t, 1)
+	g := s.start()
+	g.ready(t)
+	data, err := os.ReadFile(g.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(data)
+	bad := without(good)
+	if len(bad) < 25 {
+		t.Fatalf("%d keys", len(bad))
+	}
+	for i := 0; i < len(good)-2; i += 1 + len(good)/12 {
+		bad[fmt.Sprint("cut at ", i)] = good[:i]
+	}
+	for _, value := range []string{"0", "-1", `"4400000"`, "null", "true", "[]", "1e99"} {
+		bad["a deadline of "+value] = strings.Replace(good, `"deadline":1000000`, `"deadline":`+value, 1)
+	}
+	l := s.load(8, 1)
+	hup := func(text, line string, n int) {
+		t.Helper()
+		if err := os.WriteFile(g.file+".next", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(g.file+".next", g.file); err != nil {
+			t.Fatal(err)
+		}
+		g.cmd.Process.Signal(syscall.SIGHUP)
+		for deadline := time.Now().Add(20 * time.Second); strings.Count(g.text(), line) < n; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%q is not said %d times:\n%s", line, n, g.text())
+			}
+		}
+	}
+	n := 0
+	for what, text := range bad {
+		if text == good {
+			t.Fatalf("%s: not spoilt", what)
+		}
+		n++
+		hup(text, "reload: the old configuration holds: ", n)
+		time.Sleep(20 * time.Millisecond)
+	}
+	if strings.Contains(g.text(), "reload: done") || strings.Contains(g.text(), "taken up") {
+		t.Errorf("a bad file was taken up:\n%s", g.text())
+	}
+	hup(strings.Replace(good, `"worth":3`, `"worth":4`, 1), "reload: done", 1)
+	l.end(t)
+	if l.unheard > 0 {
+		t.Errorf("%d lost", l.unheard)
+	}
+	g.leave(t)
+}
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -25,6 +25,7 @@
 	lookEvery    = 20 * time.Millisecond  // whether the other place is taken, and for another try to connect
 	writeTimeout = 500 * time.Millisecond // of one that is there and does not read: the link is given up
 	helloWithin  = time.Second            // so is one that says nothing at first
+	mostWait     = time.Second            // before another try to connect
 )
 
 // Pair is this process's place and its link.
@@ -47,6 +48,9 @@
 	link    int        // its number, for the core
 	buf     []byte
 
+	wait time.Duration // before the next try to connect: longer each time that a link ends before all was told
+	next time.Time
+
 	marking sync.Mutex
 	marked  bool
 }
@@ -152,7 +156,7 @@
 				if err := p.enter(); err != nil {
 					p.log.Printf("handover: %v", err)
 				}
-			} else if p.look() && p.place == 1 {
+			} else if p.look() && p.place == 1 && !time.Now().Before(p.next) {
 				if conn, err := net.DialTimeout("unix", p.places.socket(0), lookEvery); err == nil {
 					p.serve(ctx, conn)
 				}
@@ -184,6 +188,8 @@
 	p.conn, p.link = conn, p.core.PairLinked()
 	p.writing.Unlock()
 	err := p.read(conn)
+	p.wait = min(max(2*p.wait, lookEvery), mostWait)
+	p.next = time.Now().Add(p.wait)
 	conn.Close()
 	p.writing.Lock()
 	p.conn = nil
@@ -224,6 +230,7 @@
 			conn.SetReadDeadline(time.Time{})
 			p.stats.Inc("handover", "links")
 		case handover.Whole:
+			p.wait = 0
 			p.log.Printf("handover: %v, and all of the other's runs are known", p.core.PairRole())
 		}
 		if clear {
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -22,7 +22,9 @@
 	"silverpath/internal/core"
 	"silverpath/internal/fleet"
 	"silverpath/internal/front"
+	"silverpath/internal/handover"
 	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/phase"
 	"silverpath/internal/pipes"
 	"silverpath/internal/pools"
 	"silverpath/internal/scgi"
@@ -597,17 +599,22 @@
 	}},
 }
 
-// roles are what the suite runs on, unchanged: the service as the platform has it, with pools and a reserve, and through a
-// router.
-var roles = []struct {
+// role is what the suite runs on, unchanged: the service as the platform has it, through a router, with pools and a
+// reserve, and as the older and the newer of two processes.
+type role struct {
 	name   string
 	routed bool
 	pools  *pools.Config
-}{
-	{"", false, nil},
-	{" through a router", true, nil},
+	pair   handover.Role
+}
+
+var roles = []role{
+	{"", false, nil, 0},
+	{" through a router", true, nil, 0},
 	{" with pools", false, &pools.Config{Pools: []pools.Pool{
-		{Name: "sheets", Classes: []string{"oddaja"}, Weight: 10, Floor: 0.3}, {Name: "others", Weight: 1, Floor: 0.1}}}},
+		{Name: "sheets", Classes: []string{"oddaja"}, Weight: 10, Floor: 0.3}, {Name: "others", Weight: 1, Floor: 0.1}}}, 0},
+	{" as the elder of two", false, nil, handover.Elder},
+	{" as the younger of two", false, nil, handover.Younger},
 }
 
 func TestRules(t *testing.T) {
@@ -616,7 +623,7 @@
 			t.Run(d.name+role.name, func(t *testing.T) {
 				for _, c := range cases {
 					t.Run(c.name, func(t *testing.T) {
-						synctest.Test(t, func(t *testing.T) { play(t, d, role.pools, role.routed, c.test) })
+						synctest.Test(t, func(t *testing.T) { play(t, d, role, c.test) })
 					})
 				}
 			})
@@ -665,14 +672,103 @@
 	}
 }
 
+// wire joins two processes: what one has to send the other is told, in order.
+type wire struct {
+	cores [2]*core.Core
+	links [2]int
+	mu    [2]sync.Mutex
+	bells [2]chan struct{}
+	over  chan struct{}
+}
+
+// end is what a core needs of its end, nil where it is alone.
+func (w *wire) end(as role, i int) *core.PairConfig {
+	if as.pair == 0 {
+		return nil
+	}
+	w.bells[i] = make(chan struct{}, 1)
+	return &core.PairConfig{
+		Flush: func(link int) error { return w.flush(i, link) }, Mark: func() error { return nil }, Shared: func(bool) {},
+		Ring: func() {
+			select {
+			case w.bells[i] <- struct{}{}:
+			default:
+			}
+		},
+	}
+}
+
+func (w *wire) flush(i, link int) error {
+	w.mu[i].Lock()
+	defer w.mu[i].Unlock()
+	out, err := w.cores[i].PairOut(link)
+	for _, m := range out {
+		if _, _, err := w.cores[1-i].PairMessage(m); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+// beside starts another process of the service, idle, beside the edge's core. It returns what ends it.
+func (e *edge) beside(w *wire, as role) func() {
+	other, err := core.New(core.Config{Settings: site, MemoryMB: 64, Log: e.log, Stats: &stats.Counters{}, Pair: w.end(as, 1)})
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	if err := other.Attach(&engine{core: other}, e.vault); err != nil {
+		e.t.Fatal(err)
+	}
+	w.cores = [2]*core.Core{e.core, other}
+	first := 0
+	if as.pair == handover.Younger {
+		first = 1
+	}
+	for n, i := range []int{first, 1 - first} {
+		w.cores[i].PairPlaced(int64(n+1), n)
+		if n == 0 {
+			w.cores[i].PairAlone(func(int64) bool { return false })
+		} else {
+			w.cores[i].PairOther()
+		}
+	}
+	for i, c := range w.cores {
+		w.links[i] = c.PairLinked()
+	}
+	for i := range w.cores {
+		go func() {
+			for {
+				select {
+				case <-w.bells[i]:
+					w.flush(i, w.links[i])
+				case <-w.over:
+					return
+				}
+			}
+		}()
+	}
+	other.Up()
+	synctest.Wait()
+	if r := e.core.PairRole(); r != as.pair || other.Phase() != phase.Serving {
+		e.t.Fatalf("%v, beside one that is %v", r, other.Phase())
+	}
+	return func() {
+		close(w.over)
+		other.Stop()
+		time.Sleep(time.Minute)
+	}
+}
+
 // play runs one case on a new edge.
-func play(t *testing.T, d driver, p *pools.Config, routed bool, test func(*edge)) {
+func play(t *testing.T, d driver, as role, test func(*edge)) {
+	p, routed := as.pools, as.routed
 	e := &edge{
 		t: t, driver: d, log: log.New(io.Discard, "", 0), stats: &stats.Counters{}, vault: &vault{},
 		pipes: pipes.Listen(),
 	}
 	var err error
-	e.core, err = core.New(core.Config{Settings: site, MemoryMB: 64, Log: e.log, Stats: e.stats, Pools: p})
+	w := &wire{over: make(chan struct{})}
+	e.core, err = core.New(core.Config{Settings: site, MemoryMB: 64, Log: e.log, Stats: e.stats, Pools: p, Pair: w.end(as, 0)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -684,6 +780,9 @@
 	if err := e.worker.Attach(e.engine, e.vault); err != nil {
 		t.Fatal(err)
 	}
+	if as.pair != 0 {
+		defer e.beside(w, as)()
+	}
 	e.worker.Up()
 	synctest.Wait()
 	e.ln = front.New(d.name, e.pipes, 1000, e.core.IdleAfter, d.serve(e), e.log, e.stats)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -433,9 +433,7 @@
 		s.log.Printf("handover: the other process takes over")
 		s.reporter.Quiet()
 		lead = 0
-		for _, l := range s.listeners {
-			l.Close()
-		}
+		s.closeListeners()
 	}
 	s.core.Drain(stop)
 	time.Sleep(min(lead, stop/2))
@@ -443,24 +441,32 @@
 		l.Drain()
 	}
 	time.Sleep(min(listenOn, stop/4))
-	for _, l := range s.listeners {
-		l.Close()
+	// A socket that the platform holds refuses nobody: who connects then waits, unread. So while no other process takes
+	// such connections they are taken here, and told to go elsewhere.
+	listening := s.pair != nil && !s.core.Successor()
+	lastTaken := began.Add(stop - exitBefore - 2*settle)
+	if !listening {
+		s.closeListeners()
 	}
 	end := time.NewTimer(stop - exitBefore - time.Since(began))
 	defer end.Stop()
 	tick := time.NewTicker(settle)
 	defer tick.Stop()
 	quiet := 0
-	for quiet < 2 {
+	for quiet < 2 || listening {
 		select {
 		case <-end.C:
 			if n := s.core.Owed(); n > 0 {
 				s.core.Stop()
 				return fmt.Errorf("drain: %d requests were not answered before the end", n)
 			}
-			quiet = 2
+			quiet, listening = 2, false
 		case <-tick.C:
 			quiet++
+			if listening && (s.core.Successor() || time.Now().After(lastTaken)) {
+				listening = false
+				s.closeListeners()
+			}
 			if s.core.Owed() > 0 || s.connections() > 0 {
 				quiet = 0
 			}
@@ -470,6 +476,12 @@
 	return nil
 }
 
+func (s *Service) closeListeners() {
+	for _, l := range s.listeners {
+		l.Close()
+	}
+}
+
 func (s *Service) connections() int {
 	n := 0
 	for _, l := range s.listeners {
