A newer process is not blind after an older one has left in good order

The log said 'what it ran is not all known: unknown keys fail for 2s' after a clean exit. Two causes, each now a test that fails without the change: a write to the older process as it left ended the link (pair.flush closed it), so that its last words were not read; and a link to a third process, already in the older one's place, was taken for unread words of the older one (pair.serve told of the cut before the death), or made the third one blind, as each had 'seen another' (handover.hello). Ruled out: marks (none was left) and the order of messages. Now a failed write ends this side's half only, the death is told first, and a Hello names the process that it takes the other for.

Two processes of 64 descriptors have room: the management front takes one place in 16.

--- a/cmd/silverpath/takeover_test.go
+++ b/cmd/silverpath/takeover_test.go
@@ -56,6 +56,11 @@
 					next.Ready(t)
 					time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
 					old.Leave(t)
+					t.Cleanup(func() {
+						if t.Failed() {
+							t.Log(next.Log())
+						}
+					})
 					old = next
 				}
 			},
@@ -115,8 +120,8 @@
 				play(t, s, l, old, rand.New(rand.NewPCG(seed, 7)))
 				time.Sleep(200 * time.Millisecond)
 				end(t, l)
-				if l.Unheard > 0 && name == "replaced three times" {
-					t.Errorf("%d turned back unheard", l.Unheard)
+				if name == "replaced three times" && (l.Unheard > 0 || l.Refused > l.Served/20) {
+					t.Errorf("%d turned back unheard, %d refused or failed of %d", l.Unheard, l.Refused, l.Served)
 				}
 				if left, _ := filepath.Glob(filepath.Join(s.Dir, "*.mark.*")); len(left) > 1 {
 					t.Errorf("marks are left: %v", left)
--- a/internal/core/pair_test.go
+++ b/internal/core/pair_test.go
@@ -113,11 +113,14 @@
 	w.wire[i] = w.wire[i][1:]
 	clear, marks, err := h.c.PairMessage(m)
 	if err != nil {
-		w.cut(i)
-		if err == handover.ErrOther {
+		switch err {
+		case handover.ErrOther:
 			w.gone(i)
+			w.cut(i)
 			h.c.PairOther()
-		} else {
+		case handover.ErrStale:
+			w.cut(i)
+		default:
 			w.t.Fatalf("a message is refused: %v", err)
 		}
 		return
@@ -141,7 +144,9 @@
 		m := rest[0]
 		w.wire[other] = rest[1:]
 		if _, _, err := w.procs[other].c.PairMessage(m); err != nil {
-			broke = true
+			if broke = true; err == handover.ErrOther {
+				w.gone(other)
+			}
 			break
 		}
 	}
@@ -382,7 +387,7 @@
 }
 
 // The orders that random ones seldom come to, each with what must not happen in it: a step, its place, and a key. After
-// "held" the key is in the hold of that process and would run there, after "none" it is not.
+// "held" the key is in the hold of that process and would run there, after "none" it is not, and "sees" is not blind.
 func TestPairScripts(t *testing.T) {
 	for name, script := range map[string]string{
 		"the elder runs without a link, dies, and the repeat goes to the younger": "start1 heal0 cut0 try0a run0a kill0 look1 try1a none1a heal1",
@@ -394,6 +399,7 @@
 		"a process starts beside one that knows nothing of a dead one":          "try0a run0a start1 kill0 start0 kill1 start1 heal0 try0a try1a heal0 none0a none1a",
 		"the younger runs what it was said to hold, and dies":                   "start1 heal0 try1a deliver0 deliver1 cut0 heal0 run1a kill1 look0 try0a none0a",
 		"the younger gives the link up with a note unread, and the elder dies":  "start1 heal0 try0a run0a cut1 kill0 look1 try1a none1a",
+		"the elder leaves in good order, and a third is in its place at once":   "start1 heal0 try0a run0a end0a heal0 kill0 start0 connect0 deliver1 sees1 heal0 sees0 sees1",
 		"blindness is passed on":                                                "start1 heal0 cut0 try0a run0a kill0 look1 start0 heal0 kill1 look0 try0a none0a",
 		"the elder dies with a run under way, and what it never ran is run":     "start1 heal0 try0a run0a try0b heal0 kill0 look1 try1a none1a try1b held1b",
 		"the younger dies with a run that it was granted, and a third knows it": "start1 heal0 try1a heal0 run1a kill1 look0 try0a none0a start1 heal0 try1a none1a",
@@ -408,6 +414,9 @@
 				if needs := do == "run" || do == "runcut" || do == "drop" || do == "held"; needs && !held || do == "none" && held {
 					t.Fatalf("%s: held is %v", step, held)
 				}
+				if do == "sees" && w.procs[i].c.pair.side.Blind() != 0 {
+					t.Fatalf("%s: it takes itself for blind", step)
+				}
 				w.step(do, i, key)
 			}
 		})
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -67,6 +67,7 @@
 type Message struct {
 	Kind   Kind
 	Stamp  int64 // Hello: of the sender's start
+	Peer   int64 // Hello: and of the process that it takes the other one for, 0 for none yet
 	Sole   bool  // Hello: it served alone
 	Out    bool  // Hello, Status: evacuated
 	OutSeq int64 // Hello, Status: the number of that change, of all that either knew of
@@ -117,6 +118,9 @@
 // ErrOther ends a link: another process is there than before, so that one is dead.
 var ErrOther = errors.New("another process than before")
 
+// ErrStale ends a link too: the other side takes this process for another one, and finds out by this link's Hello.
+var ErrStale = errors.New("taken for another process")
+
 // Side is one process's half.
 type Side struct {
 	stamp     int64
@@ -233,7 +237,7 @@
 	s.linked, s.met, s.whole = true, false, false
 	s.fx.Send = nil
 	clear(s.listed)
-	s.send(Message{Kind: Hello, Stamp: s.stamp, Sole: s.role == Sole || s.role == Elder, Out: s.out, OutSeq: s.outSeq, Ready: s.ready,
+	s.send(Message{Kind: Hello, Stamp: s.stamp, Peer: s.peer, Sole: s.role == Sole || s.role == Elder, Out: s.out, OutSeq: s.outSeq, Ready: s.ready,
 		Blind: s.blind})
 }
 
@@ -297,6 +301,9 @@
 	if s.peer != 0 && s.peer != m.Stamp && s.Pair() {
 		return ErrOther
 	}
+	if m.Peer != 0 && m.Peer != s.stamp {
+		return ErrStale
+	}
 	elder := s.role == Sole || s.role == Elder
 	if elder && m.Sole {
 		return fmt.Errorf("both have served alone")
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -24,9 +24,11 @@
 const Name = "mgmt"
 
 const (
-	// Most is the number of connections at once. A further one takes the place of the one that has been unfinished for
-	// longest, so callers that never finish keep nobody out.
-	Most = 24
+	// Most is the greatest number of connections at once. A further one takes the place of the one that has been unfinished
+	// for longest, so callers that never finish keep nobody out.
+	Most  = 24
+	least = 4
+	part  = 16 // of the descriptors, one in so many
 
 	mostHead = 4 << 10 // bytes of request line and headers
 	mostBody = 4 << 10 // what a call brings is read and not looked at
@@ -136,9 +138,13 @@
 	return c, err
 }
 
+// Places is the number of connections at once of a process with so many descriptors.
+func Places(descriptors int) int { return min(max(descriptors/part, least), Most) }
+
 // Server answers operators at one address.
 type Server struct {
 	ln    net.Listener
+	most  int
 	op    Operator
 	log   *log.Logger
 	stats *stats.Counters
@@ -157,13 +163,13 @@
 	evicted bool
 }
 
-// Listen opens the address.
-func Listen(addr string, op Operator, l *log.Logger, s *stats.Counters) (*Server, error) {
+// Listen opens the address, for so many connections at once.
+func Listen(addr string, most int, op Operator, l *log.Logger, s *stats.Counters) (*Server, error) {
 	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return &Server{ln: ln, op: op, log: l, stats: s, took: s.Timing("call", Name), freed: make(chan struct{}, 1)}, nil
+	return &Server{ln: ln, most: most, op: op, log: l, stats: s, took: s.Timing("call", Name), freed: make(chan struct{}, 1)}, nil
 }
 
 // Addr is the address listened on.
@@ -210,7 +216,7 @@
 func (s *Server) room() {
 	for {
 		s.mu.Lock()
-		if len(s.places) < Most || s.over {
+		if len(s.places) < s.most || s.over {
 			s.mu.Unlock()
 			return
 		}
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -35,7 +35,7 @@
 func serve(t *testing.T) (*Server, *operated, *stats.Counters) {
 	t.Helper()
 	op, counters := &operated{}, &stats.Counters{}
-	s, err := Listen("127.0.0.1:0", op, log.New(io.Discard, "", 0), counters)
+	s, err := Listen("127.0.0.1:0", Most, op, log.New(io.Discard, "", 0), counters)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -191,6 +191,9 @@
 	p.wait = min(max(2*p.wait, lookEvery), mostWait)
 	p.next = time.Now().Add(p.wait)
 	conn.Close()
+	if errors.Is(err, handover.ErrOther) {
+		p.gone() // first: what is not read of this link is not that one's
+	}
 	p.writing.Lock()
 	p.conn = nil
 	p.core.PairCut(!wholly(err))
@@ -201,7 +204,6 @@
 	p.stats.Inc("handover", "link_down")
 	p.log.Printf("handover: link down: %v", err)
 	if errors.Is(err, handover.ErrOther) {
-		p.gone()
 		p.core.PairOther()
 	}
 }
@@ -282,7 +284,11 @@
 		}
 		p.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := p.conn.Write(p.buf); err != nil {
-			p.conn.Close() // the reader tells the core
+			// What the other wrote before is still to be read: as it is gone, that is all there will be to know of it. One
+			// that is there and does not read sees the end of this side's bytes, and ends the link.
+			if half, ok := p.conn.(*net.UnixConn); ok {
+				half.CloseWrite()
+			}
 			p.conn = nil
 			return fmt.Errorf("writing to the other process: %w", err)
 		}
--- a/internal/pair/pair_test.go
+++ b/internal/pair/pair_test.go
@@ -237,8 +237,44 @@
 	}
 }
 
+// The elder leaves just as the younger writes to it: what the elder had written is read all the same, so that the
+// younger knows all and goes on with new keys.
+func TestElderLeavesAsTheYoungerWrites(t *testing.T) {
+	for n := range 15 {
+		dir := t.TempDir()
+		a := start(t, dir)
+		b := start(t, dir)
+		await(t, "both serve", func() bool { return a.serves() && b.serves() })
+		over := make(chan struct{})
+		go func() {
+			defer close(over)
+			for i := range 200 {
+				if i%2 == 0 {
+					b.core.Evacuate()
+				} else {
+					b.core.Rejoin()
+				}
+				time.Sleep(20 * time.Microsecond)
+			}
+		}()
+		time.Sleep(time.Duration(n) * 50 * time.Microsecond)
+		a.die()
+		await(t, "the second is alone", func() bool { return b.core.PairRole() == handover.Sole })
+		<-over
+		fresh := b.try("b1", "k", time.Now())
+		select {
+		case answer := <-fresh:
+			t.Fatalf("round %d: a new key is answered %v, unrun", n, answer.Outcome)
+		case <-time.After(5 * time.Millisecond):
+		}
+		b.core.Ended("b1", silverpath.OK, 0, nil)
+		want(t, "a new key", fresh, core.Served, "")
+		b.die()
+	}
+}
+
 var samples = []handover.Message{
-	{Kind: handover.Hello, Stamp: 1764576000123456789, OutSeq: 3, Blind: 9, Sole: true, Ready: true},
+	{Kind: handover.Hello, Stamp: 1764576000123456789, Peer: 5, OutSeq: 3, Blind: 9, Sole: true, Ready: true},
 	{Kind: handover.Status, Out: true},
 	{Kind: handover.Whole},
 	{Kind: handover.Run, Flight: handover.Flight{Key: "oddaja\x00k", ID: "9b1f", Sum: 1 << 63, Reached: -1, Until: 7,
--- a/internal/pair/wire.go
+++ b/internal/pair/wire.go
@@ -33,9 +33,9 @@
 	b = append(b, 0, 0, 0, 0, version, byte(m.Kind), flags(m))
 	switch m.Kind {
 	case handover.Hello:
-		b = binary.BigEndian.AppendUint64(b, uint64(m.Stamp))
-		b = binary.BigEndian.AppendUint64(b, uint64(m.OutSeq))
-		b = binary.BigEndian.AppendUint64(b, uint64(m.Blind))
+		for _, n := range []int64{m.Stamp, m.Peer, m.OutSeq, m.Blind} {
+			b = binary.BigEndian.AppendUint64(b, uint64(n))
+		}
 	case handover.Status:
 		b = binary.BigEndian.AppendUint64(b, uint64(m.OutSeq))
 	case handover.Run, handover.Gone, handover.Claim, handover.Grant, handover.Taken:
@@ -99,11 +99,12 @@
 	b = b[3:]
 	switch m.Kind {
 	case handover.Hello:
-		if len(b) != 24 {
+		if len(b) != 4*8 {
 			return m, fmt.Errorf("%w: hello of %d bytes", errFrame, len(b))
 		}
-		m.Stamp, m.OutSeq = int64(binary.BigEndian.Uint64(b)), int64(binary.BigEndian.Uint64(b[8:]))
-		m.Blind = int64(binary.BigEndian.Uint64(b[16:]))
+		for i, n := range []*int64{&m.Stamp, &m.Peer, &m.OutSeq, &m.Blind} {
+			*n = int64(binary.BigEndian.Uint64(b[8*i:]))
+		}
 		return m, nil
 	case handover.Status:
 		if len(b) != 8 {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -58,7 +58,7 @@
 func budget(c settings.Config) Budget {
 	own := spareFDs
 	if c.Mgmt != "" {
-		own += mgmt.Most // its own, whatever clients do
+		own += mgmt.Places(c.Sockets) // its own, whatever clients do
 	}
 	if c.Socket > 0 {
 		own *= 2 // another process starts beside this one, before any share is given up
@@ -197,7 +197,7 @@
 		}
 	}
 	if cfg.Mgmt != "" {
-		s.mgmt, err = mgmt.Listen(cfg.Mgmt, s.core, l, s.stats)
+		s.mgmt, err = mgmt.Listen(cfg.Mgmt, mgmt.Places(cfg.Sockets), s.core, l, s.stats)
 		if err != nil {
 			s.close()
 			return nil, fmt.Errorf("mgmt: %w", err)
@@ -554,7 +554,7 @@
 		{"MessagePack-RPC front", c.Listen, b.Platform}, {"SCGI front", c.SCGI.Listen, b.SCGI},
 		{"interpreter", c.VM, 1}, {"fleet", fleetOf(c), b.Upstream}, {"SCGI application server", c.SCGI.Upstream, b.Upstream},
 		{"vault", c.Vault, b.Vault}, {"announce service", c.Announce, 1}, {"SNMP agent", c.SNMP.Listen, 1},
-		{"management front", c.Mgmt, mgmt.Most},
+		{"management front", c.Mgmt, mgmt.Places(c.Sockets)},
 	} {
 		if part.addr == "" {
 			s += fmt.Sprintf("  %s: off\n", part.what)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -22,6 +22,7 @@
 	"github.com/valyala/fastjson"
 
 	"silverpath"
+	"silverpath/internal/mgmt"
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/pools"
 	"silverpath/internal/scgi"
@@ -358,6 +359,12 @@
 			if sum := b.Platform + b.SCGI + b.Vault + b.Upstream; sum > sockets-spareFDs {
 				t.Errorf("%d descriptors: %+v", sockets, b)
 			}
+			// Two processes: one with all, before it has given up its share, and one that opens its own files.
+			c.Mgmt, c.Socket = "x", 7
+			b = budget(c)
+			if sum := b.Platform + b.SCGI + 2*(b.Vault+b.Upstream+spareFDs+mgmt.Places(sockets)); sum > sockets || b.Platform+b.SCGI < 8 {
+				t.Errorf("%d descriptors of two: %+v", sockets, b)
+			}
 		}
 	}
 }
