--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -239,10 +239,9 @@
 			p.writing.Lock()
 			link := p.link
 			p.writing.Unlock()
-			if err := p.flush(link); err != nil {
-				return err
+			if p.flush(link) == nil { // else what the other wrote is still to be read
+				p.unmark(marks)
 			}
-			p.unmark(marks)
 		}
 	}
 }
