A process that leaves gives its place up before its last words

Seen with the race detector, under which a program takes a second to exit: the newer process had read the end of the link at 19.836 s and was alone only at 20.842, as the older one still held its place; meanwhile keyed requests waited until they were due (37 of 430). Whatever makes an exit slow would do it. The place is let go of once the core has stopped and the link is closed (service.Run, pair.Keep); from then on nothing can run there.

--- /dev/null
+++ b/cmd/silverpath/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package main
+
+const raced = false
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -42,6 +42,7 @@
 	ln     net.Listener // of place 0, to which place 1 connects
 	bell   chan struct{}
 	links  chan net.Conn // that came in
+	over   chan struct{} // closed at the end
 
 	writing sync.Mutex // and what follows
 	conn    net.Conn   // nil: no link
@@ -61,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Pair{places: places, place: -1, log: l, stats: s, bell: make(chan struct{}, 1), links: make(chan net.Conn)}, nil
+	return &Pair{places: places, place: -1, log: l, stats: s, bell: make(chan struct{}, 1), links: make(chan net.Conn), over: make(chan struct{})}, nil
 }
 
 // Config is what the core needs of the pair.
@@ -134,8 +135,13 @@
 	})
 }
 
-// Keep holds the link as long as there is another process, until the context ends.
+// Left is closed once the place is free again, after the end of Keep's context.
+func (p *Pair) Left() <-chan struct{} { return p.over }
+
+// Keep holds the link as long as there is another process, until the context ends. By then the core has stopped.
 func (p *Pair) Keep(ctx context.Context) {
+	defer close(p.over)
+	defer p.places.close() // and so the place: this process runs nothing any more, however long its exit takes
 	go p.write(ctx)
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -414,7 +414,12 @@
 		defer s.mgmt.Close()
 	}
 	<-leave
-	return s.drain()
+	err := s.drain()
+	cancel()
+	if s.pair != nil {
+		<-s.pair.Left() // before the last words: whoever takes over waits for nothing but this
+	}
+	return err
 }
 
 // drain leads from the notice to the end. Callers hear of it seconds late, and whoever takes over may be cold yet:
