--- a/internal/lab/shared.go
+++ b/internal/lab/shared.go
@@ -116,6 +116,8 @@
 	Addr  string
 	Dir   string
 	Plant *Plant
+	// Edit changes the configuration of processes to be started; nil: as it is.
+	Edit func(text string) string
 
 	t      testing.TB
 	bin    string
@@ -164,6 +166,9 @@
  "family_info":{"below":"none","callers":2,"cpus":8,"gauges":["core_use","on_cores","heap_share","links"],"key_kb":0.1,
  "memory_kb":65536,"run_factor":1},"rules":{"cold_from":1,"fall_multiple":8,"overload_for":3000000,"drain_grace":500000},
  "limits":{"retry_after":true,"max_retry_after":100000},"servers":1}}`, s.Addr, s.Plant.Open(s.t))
+	if s.Edit != nil {
+		text = s.Edit(text)
+	}
 	if err := os.WriteFile(g.File, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/service/operate_test.go
+++ b/internal/service/operate_test.go
@@ -147,6 +147,7 @@
 	}
 	began := time.Now()
 	code, why := lab.Call(s.mgmt.Addr().String(), "POST /api/evacuate")
+	t.Logf("answered after %v", time.Since(began))
 	if took := time.Since(began); code != 200 || took > time.Second {
 		t.Errorf("%d %q after %v", code, why, took)
 	}
