Nothing is kept for a process that no longer reads; the claim reads straight through

Found on reading the takeover again. Since a failed write ends only this side's half of the link (pair.flush), the core went on taking the link for live: every note and result of a run was kept for the next write, which never came, for as long as the other process was stopped (settlePair's out). At 150 sheets a second with 4 KiB results that is 0.6 MB a second. Now the core is told, keeps nothing and marks its runs.

Simpler: the wait for a key is a function of its own, events to the half return no error that nobody reads, a run is dropped by its key alone, locks and SO_REUSEPORT by golang.org/x/sys, which was in the build already, in place of numbers written here. A bad frame on the link is counted.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -174,7 +174,7 @@
 		c.hang(set)
 	}
 	if cfg.Pair != nil {
-		c.pair = newPair(c, *cfg.Pair, cfg.MemoryMB)
+		c.pair = newPair(c, *cfg.Pair)
 	}
 	c.show()
 	return c, nil
--- a/internal/core/pair.go
+++ b/internal/core/pair.go
@@ -33,6 +33,7 @@
 	side   *handover.Side
 	out    []handover.Message // to be sent
 	link   int                // of what is in out
+	mute   bool               // nothing can be written on it any more
 	bell   chan struct{}      // closed, and replaced, at every change
 	open   bool
 	risen  chan struct{}            // closed when this process may take requests
@@ -41,7 +42,7 @@
 	limits [2]int // of the table of keys and of the requests in hand, for one process
 }
 
-func newPair(c *Core, cfg PairConfig, memoryMB float64) *pair {
+func newPair(c *Core, cfg PairConfig) *pair {
 	p := &pair{PairConfig: cfg, bell: make(chan struct{}), risen: make(chan struct{}), asking: map[string]chan struct{}{},
 		limits: [2]int{c.keys.limit, c.maxTasks}}
 	p.side = handover.New((*pairKeys)(c))
@@ -60,7 +61,7 @@
 	p := c.pair
 	for {
 		fx := p.side.Take()
-		if len(fx.Send) > 0 {
+		if len(fx.Send) > 0 && !p.mute {
 			p.out = append(p.out, fx.Send...)
 			p.Ring()
 		}
@@ -128,22 +129,21 @@
 
 // PairPlaced is told when this process took one of the two places.
 func (c *Core) PairPlaced(stamp int64, slot int) {
-	c.onPair(func(s *handover.Side) error { s.Placed(stamp, slot); return nil })
+	c.onPair(func(s *handover.Side) { s.Placed(stamp, slot) })
 }
 
 // PairOther is told that there is another process.
-func (c *Core) PairOther() { c.onPair(func(s *handover.Side) error { s.Other(); return nil }) }
+func (c *Core) PairOther() { c.onPair(func(s *handover.Side) { s.Other() }) }
 
 // PairAlone is told that there is no other process, or none any more; marked as of its stamp.
 func (c *Core) PairAlone(marked func(stamp int64) bool) {
-	c.onPair(func(s *handover.Side) error {
+	c.onPair(func(s *handover.Side) {
 		was := s.Role()
 		s.Alone(s.Peer() != 0 && marked(s.Peer()), c.windowEnd())
 		if was != s.Role() && s.Blind() > time.Now().UnixNano() {
 			c.log.Printf("handover: the other process is gone and what it ran is not all known: unknown keys fail for %v",
 				time.Until(time.Unix(0, s.Blind())).Round(time.Second))
 		}
-		return nil
 	})
 }
 
@@ -158,32 +158,39 @@
 
 // PairLinked is told of a new link and returns its number, for PairOut.
 func (c *Core) PairLinked() (link int) {
-	c.onPair(func(s *handover.Side) error {
+	c.onPair(func(s *handover.Side) {
 		c.pair.link++
-		c.pair.out, link = nil, c.pair.link
+		c.pair.out, c.pair.mute, link = nil, false, c.pair.link
 		s.Linked()
-		return nil
 	})
 	return link
 }
 
 // PairCut is told that the link is gone, and whether what came on it may not all have been read.
 func (c *Core) PairCut(unread bool) {
-	c.onPair(func(s *handover.Side) error {
+	c.onPair(func(s *handover.Side) {
 		c.pair.link++
 		c.pair.out = nil
 		s.Cut(unread)
-		return nil
 	})
 }
 
+// PairMute is told that nothing can be written on a link any more, though what comes on it is still read: what would be
+// sent is not kept for a process that may be stopped for long.
+func (c *Core) PairMute(link int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if link == c.pair.link {
+		c.pair.out, c.pair.mute = nil, true
+	}
+}
+
 // PairMessage takes a message of the other's. Where all is to be written first, clear says that the mark may then go,
 // if there were no more marks than those.
 func (c *Core) PairMessage(m handover.Message) (clear bool, marks int, err error) {
-	c.onPair(func(s *handover.Side) error {
+	c.onPair(func(s *handover.Side) {
 		err = s.Receive(m, c.windowEnd())
 		clear, marks = s.TakeClear()
-		return nil
 	})
 	return clear, marks, err
 }
@@ -195,14 +202,14 @@
 	return c.pair.side.Marks()
 }
 
-// errOtherLink is of a link that is not the present one.
-var errOtherLink = errors.New("not the present link")
+// errOtherLink is of a link that is not the present one, or is written on no more.
+var errOtherLink = errors.New("not a link to write on")
 
 // PairOut returns what is to be sent on a link.
 func (c *Core) PairOut(link int) ([]handover.Message, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if link != c.pair.link {
+	if link != c.pair.link || c.pair.mute {
 		return nil, errOtherLink
 	}
 	out := c.pair.out
@@ -210,7 +217,7 @@
 	return out, nil
 }
 
-func (c *Core) onPair(event func(s *handover.Side) error) {
+func (c *Core) onPair(event func(s *handover.Side)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	event(c.pair.side)
@@ -219,12 +226,11 @@
 
 // tellOut tells the other process whether operators have evacuated the service.
 func (c *Core) tellOut() {
-	c.onPair(func(s *handover.Side) error {
+	c.onPair(func(s *handover.Side) {
 		now := c.state.now()
 		if !now.Leaving() {
 			s.Evacuated(!now.Healthy())
 		}
-		return nil
 	})
 }
 
@@ -244,67 +250,68 @@
 	f := handover.Flight{Key: key, ID: r.ID, Sum: c.keys.sum(&task{Request: *r}), Reached: r.Reached.UnixNano(), Window: k.KeyWindow,
 		Until: r.Reached.Add(k.KeyWindow + k.Deadline + keyLinger).UnixNano()}
 	p.side.Want(key)
-	var due *time.Timer
-	var left chan struct{}
+	verdict := p.side.Ask(f)
+	c.settlePair()
+	if verdict == handover.Wait {
+		verdict, a = c.await(r, f)
+	}
+	switch verdict {
+	case handover.Own:
+		return a, false
+	case handover.Never:
+		a = Answer{Outcome: Failed}
+		c.stats.Inc("handover", "unknown_owner")
+	}
+	p.side.Done(key, f.Reached)
+	c.settlePair()
+	return a, true
+}
+
+// await waits for the key of a request, without the lock. It returns the verdict, or Wait and the answer where the
+// request's time is up, its caller has left, or it may not even wait.
+func (c *Core) await(r *Request, f handover.Flight) (handover.Verdict, Answer) {
+	p := c.pair
+	switch {
+	case p.asking[r.ID] != nil || c.tasks[r.ID] != nil:
+		return handover.Wait, Answer{Outcome: Invalid}
+	case len(p.asking) >= c.maxTasks:
+		return handover.Wait, Answer{Outcome: Failed}
+	}
+	left := make(chan struct{})
+	p.asking[r.ID] = left
+	c.owed++
+	c.show()
+	c.stats.Inc("handover", "asked")
+	due := time.NewTimer(max(0, time.Until(r.Due)-backstop))
+	defer func() {
+		due.Stop()
+		delete(p.asking, r.ID)
+		c.owed--
+		c.show()
+		c.settled()
+	}()
 	for {
-		verdict := p.side.Ask(f)
-		c.settlePair()
-		switch verdict {
-		case handover.Own:
-			if left != nil {
-				c.endAsking(r.ID, due)
-			}
-			return a, false
-		case handover.Never:
-			a, over = Answer{Outcome: Failed}, true
-			c.stats.Inc("handover", "unknown_owner")
-		}
-		if !over && left == nil {
-			switch {
-			case p.asking[r.ID] != nil || c.tasks[r.ID] != nil:
-				a, over = Answer{Outcome: Invalid}, true
-			case len(p.asking) >= c.maxTasks:
-				a, over = Answer{Outcome: Failed}, true
-			default:
-				left = make(chan struct{})
-				p.asking[r.ID] = left
-				c.owed++
-				c.show()
-				due = time.NewTimer(max(0, time.Until(r.Due)-backstop))
-				c.stats.Inc("handover", "asked")
-			}
-		}
-		if over {
-			break
-		}
 		bell := p.bell
 		c.mu.Unlock()
+		a := Answer{Outcome: Expired}
+		over := true
 		select {
 		case <-bell:
+			over = false
 		case <-due.C:
-			a, over = Answer{Outcome: Expired}, true
 		case <-left:
-			a, over = Answer{Outcome: Failed}, true // which nobody waits for
+			a.Outcome = Failed // which nobody waits for
 		}
 		c.mu.Lock()
 		if over {
-			break
+			return handover.Wait, a
+		}
+		verdict := p.side.Ask(f)
+		c.settlePair()
+		if verdict != handover.Wait {
+			return verdict, Answer{}
 		}
 	}
-	if left != nil {
-		c.endAsking(r.ID, due)
-	}
-	p.side.Done(key, f.Reached)
-	c.settlePair()
-	return a, true
-}
-
-func (c *Core) endAsking(id string, due *time.Timer) {
-	due.Stop()
-	delete(c.pair.asking, id)
-	c.owed--
-	c.show()
-	c.settled()
 }
 
 // claimed ends a claim that let its request go on, once the request is in the table, or was turned away.
@@ -338,7 +345,7 @@
 		if c.pair.Flush(link) == nil {
 			return true
 		}
-		c.onPair(func(s *handover.Side) error { s.Unwritten(); return nil })
+		c.onPair(func(s *handover.Side) { s.Unwritten() })
 	}
 	if err := c.pair.Mark(); err != nil {
 		c.log.Printf("handover: a keyed request is not run: the mark can't be left: %v", err)
@@ -363,14 +370,14 @@
 	if f.entry.last == f {
 		c.pair.side.Ended(f.tell())
 	} else {
-		c.pair.side.Dropped(f.entry.key, f.id)
+		c.pair.side.Dropped(f.entry.key)
 	}
 	c.settlePair()
 }
 
 func (c *Core) tellDrop(f *flight) {
 	if c.pair != nil && !f.entry.fresh {
-		c.pair.side.Dropped(f.entry.key, f.id)
+		c.pair.side.Dropped(f.entry.key)
 		c.settlePair()
 	}
 }
@@ -418,7 +425,7 @@
 	}
 }
 
-func (p *pairKeys) Drop(key, id string) {
+func (p *pairKeys) Drop(key string) {
 	c := (*Core)(p)
 	if f := c.keys.dropTheirs(key); f != nil {
 		c.wakeJoined(f)
--- a/internal/core/pair_test.go
+++ b/internal/core/pair_test.go
@@ -31,6 +31,7 @@
 	procs  [2]*half
 	linked bool
 	link   [2]int
+	mute   [2]bool               // nothing can be written any more
 	wire   [2][]handover.Message // to the process in that place
 	marks  map[int64]bool
 	ran    map[string]string // the result of the one run of a key
@@ -80,7 +81,7 @@
 // flush writes what a process has to send. It reports whether it did, on that link.
 func (w *world) flush(i, link int) bool {
 	h := w.procs[i]
-	if h == nil || !w.linked || link != w.link[i] {
+	if h == nil || !w.linked || link != w.link[i] || w.mute[i] {
 		return false
 	}
 	out, err := h.c.PairOut(link)
@@ -95,7 +96,7 @@
 	if w.linked || w.procs[0] == nil || w.procs[1] == nil {
 		return
 	}
-	w.linked = true
+	w.linked, w.mute = true, [2]bool{}
 	for i, h := range w.procs {
 		w.wire[i] = nil
 		w.link[i] = h.c.PairLinked()
@@ -272,6 +273,9 @@
 		w.end(i, running, do == "end")
 	case do == "drop" && held != nil:
 		w.drop(i, held)
+	case do == "mute" && w.linked:
+		w.mute[i] = true
+		w.procs[i].c.PairMute(w.link[i])
 	case do == "evacuate" && w.procs[i] != nil:
 		w.procs[i].c.state.happens(phase.Evacuate)
 		w.procs[i].c.tellOut()
@@ -295,7 +299,7 @@
 		w.cut(1 - i)
 	}
 	if note == handover.Written && !w.flush(i, link) {
-		c.onPair(func(s *handover.Side) error { s.Unwritten(); return nil })
+		c.onPair(func(s *handover.Side) { s.Unwritten() })
 		note = handover.Marked
 	}
 	if note == handover.Marked {
@@ -331,6 +335,15 @@
 // heal gives the two, or the one, all the time they need.
 func (w *world) heal() {
 	for range 20 {
+		if w.mute != [2]bool{} { // the other sees the end of those bytes, and ends the link
+			for i := range 2 {
+				for len(w.wire[i]) > 0 {
+					w.deliver(i)
+				}
+			}
+			w.cut(0)
+			w.mute = [2]bool{}
+		}
 		w.look(0)
 		w.look(1)
 		w.connect()
@@ -354,7 +367,7 @@
 		for range rapid.IntRange(10, 80).Draw(t, "steps") {
 			i := rapid.IntRange(0, 1).Draw(t, "place")
 			do := rapid.SampledFrom([]string{"start", "kill", "connect", "connect", "cut", "deliver", "deliver", "deliver", "deliver",
-				"try", "try", "run", "run", "runcut", "end", "fail", "drop", "look", "look", "evacuate", "rejoin", "heal", "poll",
+				"try", "try", "run", "run", "runcut", "end", "fail", "drop", "look", "look", "evacuate", "rejoin", "heal", "mute", "poll",
 				"poll"}).Draw(t, "step")
 			w.step(do, i, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"))
 		}
@@ -401,6 +414,7 @@
 		"the younger gives the link up with a note unread, and the elder dies":  "start1 heal0 try0a run0a cut1 kill0 look1 try1a none1a",
 		"the elder leaves in good order, and a third is in its place at once":   "start1 heal0 try0a run0a end0a heal0 kill0 start0 connect0 deliver1 sees1 heal0 sees0 sees1",
 		"blindness is passed on":                                                "start1 heal0 cut0 try0a run0a kill0 look1 start0 heal0 kill1 look0 try0a none0a",
+		"the elder's writes fail, the link stays, and it dies":                  "start1 heal0 mute0 try0a run0a try0b run0b end0b kill0 look1 try1a none1a",
 		"the elder dies with a run under way, and what it never ran is run":     "start1 heal0 try0a run0a try0b heal0 kill0 look1 try1a none1a try1b held1b",
 		"the younger dies with a run that it was granted, and a third knows it": "start1 heal0 try1a heal0 run1a kill1 look0 try0a none0a start1 heal0 try1a none1a",
 	} {
@@ -418,6 +432,9 @@
 					t.Fatalf("%s: it takes itself for blind", step)
 				}
 				w.step(do, i, key)
+				if h := w.procs[i]; h != nil && w.mute[i] && len(h.c.pair.out) > 0 {
+					t.Fatalf("%s: %d messages are kept for nobody", step, len(h.c.pair.out))
+				}
 			}
 		})
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"silverpath/internal/pools"
 	"silverpath/internal/stats"
 )
@@ -177,9 +179,8 @@
 
 // ReusePort lets two processes of the service have one address.
 func ReusePort(_, _ string, c syscall.RawConn) error {
-	const soReusePort = 15
 	var err error
-	if e := c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, soReusePort, 1) }); e != nil {
+	if e := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); e != nil {
 		return e
 	}
 	return err
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -42,7 +42,7 @@
 	// Holds returns the run that a try repeats which reached the machine then, own or the other's.
 	Holds(key string, reached int64) (Flight, bool)
 	Put(f Flight)                        // the other's run has come so far
-	Drop(key, id string)                 // the other let go of it unrun
+	Drop(key string)                     // the other let go of it unrun
 	Own() []Flight                       // of this process, within their windows
 	Lost(mayHaveRun func(f Flight) bool) // the other is gone: what has no end has none any more
 	Keep(listed func(key string) bool)   // of the other's runs without an end, those it told of just now
@@ -237,8 +237,8 @@
 	s.linked, s.met, s.whole = true, false, false
 	s.fx.Send = nil
 	clear(s.listed)
-	s.send(Message{Kind: Hello, Stamp: s.stamp, Peer: s.peer, Sole: s.role == Sole || s.role == Elder, Out: s.out, OutSeq: s.outSeq, Ready: s.ready,
-		Blind: s.blind})
+	s.send(Message{Kind: Hello, Stamp: s.stamp, Peer: s.peer, Sole: s.role == Sole || s.role == Elder, Out: s.out,
+		OutSeq: s.outSeq, Ready: s.ready, Blind: s.blind})
 }
 
 // Cut is told when the link is gone, and the other not known to be dead. Unread says that something that the other
@@ -276,7 +276,7 @@
 		}
 		s.keys.Put(m.Flight)
 	case Gone:
-		s.keys.Drop(m.Flight.Key, m.Flight.ID)
+		s.keys.Drop(m.Flight.Key)
 	case Whole:
 		if s.whole {
 			return fmt.Errorf("all runs told twice")
@@ -488,11 +488,11 @@
 }
 
 // Dropped is told when this process let go of a request that did not run.
-func (s *Side) Dropped(key, id string) {
+func (s *Side) Dropped(key string) {
 	if c := s.claims[key]; c != nil {
 		c.granted = false
 	}
 	if s.met {
-		s.send(Message{Kind: Gone, Flight: Flight{Key: key, ID: id}})
+		s.send(Message{Kind: Gone, Flight: Flight{Key: key}})
 	}
 }
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -62,7 +62,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Pair{places: places, place: -1, log: l, stats: s, bell: make(chan struct{}, 1), links: make(chan net.Conn), over: make(chan struct{})}, nil
+	return &Pair{places: places, place: -1, log: l, stats: s, bell: make(chan struct{}, 1),
+		links: make(chan net.Conn), over: make(chan struct{})}, nil
 }
 
 // Config is what the core needs of the pair.
@@ -208,6 +209,9 @@
 		return
 	}
 	p.stats.Inc("handover", "link_down")
+	if errors.Is(err, errFrame) {
+		p.stats.Inc("malformed", "handover")
+	}
 	p.log.Printf("handover: link down: %v", err)
 	if errors.Is(err, handover.ErrOther) {
 		p.core.PairOther()
@@ -242,10 +246,7 @@
 			p.log.Printf("handover: %v, and all of the other's runs are known", p.core.PairRole())
 		}
 		if clear {
-			p.writing.Lock()
-			link := p.link
-			p.writing.Unlock()
-			if p.flush(link) == nil { // else what the other wrote is still to be read
+			if p.flush(p.present()) == nil { // else what the other wrote is still to be read
 				p.unmark(marks)
 			}
 		}
@@ -259,14 +260,18 @@
 		case <-ctx.Done():
 			return
 		case <-p.bell:
-			p.writing.Lock()
-			link := p.link
-			p.writing.Unlock()
-			p.flush(link)
+			p.flush(p.present())
 		}
 	}
 }
 
+// present is the number of the present link.
+func (p *Pair) present() int {
+	p.writing.Lock()
+	defer p.writing.Unlock()
+	return p.link
+}
+
 var errNoLink = errors.New("no link")
 
 // flush writes all that is to be sent on a link, and returns once it is written: from then on the other process reads
@@ -295,6 +300,7 @@
 				half.CloseWrite()
 			}
 			p.conn = nil
+			p.core.PairMute(p.link)
 			return fmt.Errorf("writing to the other process: %w", err)
 		}
 	}
--- a/internal/pair/places.go
+++ b/internal/pair/places.go
@@ -8,7 +8,8 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // places are the two places in which processes of one service live: a file each, in a folder that they share. Whoever
@@ -20,12 +21,6 @@
 	files [2]*os.File
 }
 
-// Locks of open files, not of processes: F_OFD_GETLK and F_OFD_SETLK of fcntl(2).
-const (
-	ofdGet = 36
-	ofdSet = 37
-)
-
 func openPlaces(dir, name string) (*places, error) {
 	d, err := os.Open(dir)
 	if err != nil {
@@ -55,8 +50,8 @@
 // take takes a place that is empty, if there is one.
 func (p *places) take() (place int, ok bool) {
 	for i, f := range p.files {
-		l := syscall.Flock_t{Type: syscall.F_WRLCK, Whence: io.SeekStart}
-		if syscall.FcntlFlock(f.Fd(), ofdSet, &l) == nil {
+		l := unix.Flock_t{Type: unix.F_WRLCK, Whence: io.SeekStart}
+		if unix.FcntlFlock(f.Fd(), unix.F_OFD_SETLK, &l) == nil {
 			return i, true
 		}
 	}
@@ -65,9 +60,9 @@
 
 // taken reports whether somebody else lives in a place.
 func (p *places) taken(place int) bool {
-	l := syscall.Flock_t{Type: syscall.F_WRLCK, Whence: io.SeekStart}
-	err := syscall.FcntlFlock(p.files[place].Fd(), ofdGet, &l)
-	return err != nil || l.Type != syscall.F_UNLCK // when in doubt, somebody does
+	l := unix.Flock_t{Type: unix.F_WRLCK, Whence: io.SeekStart}
+	err := unix.FcntlFlock(p.files[place].Fd(), unix.F_OFD_GETLK, &l)
+	return err != nil || l.Type != unix.F_UNLCK // when in doubt, somebody does
 }
 
 // socket is where the process in a place listens for the other. By way of the folder's descriptor its path is short
--- a/internal/pair/wire.go
+++ b/internal/pair/wire.go
@@ -11,8 +11,8 @@
 	"silverpath/internal/handover"
 )
 
-// A frame is its length as four bytes, then a version, the kind, flags, and what the kind brings: a stamp and the number of a change, or a run as
-// numbers of eight bytes and as texts with their length before them. All numbers are big-endian.
+// A frame is its length as four bytes, then a version, the kind, flags, and what the kind brings: numbers of eight bytes,
+// and of a run texts with their length before them. All numbers are big-endian.
 const (
 	version   = 1
 	mostFrame = 1 << 20 // of a result there are 4 KiB on the platform; an application server's may be larger
