The takeover's harness uses the lab's own parts; gaps in its tests closed, bounds as before

What no test showed: the SCGI front and the SNMP agent of two processes on one address, LB_SOCKET_FD and LB_MGMT that are no good, reports that end with a takeover, a budget of connections that shrinks under load. And a log that says 'not all known' after a clean replacement now fails the test.

--- a/cmd/silverpath/main_test.go
+++ b/cmd/silverpath/main_test.go
@@ -68,6 +68,25 @@
 	}
 }
 
+// So is what the environment adds to a configuration that is good.
+func TestBadEnvironment(t *testing.T) {
+	for name, values := range map[string]map[string]string{
+		"LB_SOCKET_FD": {"x": `LB_SOCKET_FD: no descriptor above 2: "x"`, "2": `LB_SOCKET_FD: no descriptor above 2: "2"`,
+			"99": "LB_SOCKET_FD: descriptor 99: "},
+		"LB_MGMT": {"nowhere": `LB_MGMT: not an address and port: "nowhere"`},
+	} {
+		for value, want := range values {
+			t.Run(name+" "+value, func(t *testing.T) {
+				t.Setenv(name, value)
+				code, _, message := run(t, siteFile(t, "n1", "127.0.0.1:1"), "serve")
+				if last := message[strings.LastIndex(strings.TrimSpace(message), "\n")+1:]; code != 1 || !strings.Contains(last, want) {
+					t.Errorf("exit code %d, message %q", code, message)
+				}
+			})
+		}
+	}
+}
+
 // A start without any configuration serves every class on both fronts, and the client shows the answers.
 func TestFirstStart(t *testing.T) {
 	exe, err := os.Executable()
--- a/cmd/silverpath/takeover_test.go
+++ b/cmd/silverpath/takeover_test.go
@@ -7,21 +7,21 @@
 	"net"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/valyala/fastjson"
+	"golang.org/x/sys/unix"
 
+	"silverpath/internal/ask"
 	"silverpath/internal/lab"
 	"silverpath/internal/msgpackrpc"
 )
 
 // shared is a service of this very program, whose processes inherit one socket.
-func sharedService(t *testing.T, seed uint64) *lab.Shared {
+func sharedService(t *testing.T) *lab.Shared {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("real processes")
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return lab.Inherit(t, exe, []string{"SILVERPATH_RUN=1"}, true, seed, 40*time.Millisecond)
+	return lab.Inherit(t, exe, []string{"SILVERPATH_RUN=1"}, true)
 }
 
 // end ends a load and checks what must hold whatever happened.
@@ -56,11 +56,9 @@
 					next.Ready(t)
 					time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
 					old.Leave(t)
-					t.Cleanup(func() {
-						if t.Failed() {
-							t.Log(next.Log())
-						}
-					})
+					if text := next.Log(); strings.Contains(text, "not all known") || strings.Contains(text, "without a link") {
+						t.Error(text)
+					}
 					old = next
 				}
 			},
@@ -112,7 +110,7 @@
 			},
 		} {
 			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
-				s := sharedService(t, seed)
+				s := sharedService(t)
 				old := s.Start()
 				old.Ready(t)
 				l := s.Load(6, 3, 50*time.Millisecond, seed)
@@ -120,7 +118,7 @@
 				play(t, s, l, old, rand.New(rand.NewPCG(seed, 7)))
 				time.Sleep(200 * time.Millisecond)
 				end(t, l)
-				if name == "replaced three times" && (l.Unheard > 0 || l.Refused > l.Served/4) {
+				if name == "replaced three times" && (l.Unheard > 0 || l.Refused > l.Served/20) {
 					t.Errorf("%d turned back unheard, %d refused or failed of %d", l.Unheard, l.Refused, l.Served)
 				}
 				if left, _ := filepath.Glob(filepath.Join(s.Dir, "*.mark.*")); len(left) > 1 {
@@ -134,7 +132,7 @@
 // A crowd that connects and idles, or stops half way, fills the descriptors while the process is replaced: what was read
 // is answered, nobody is turned back unheard but the crowd, and both together stay within the limits.
 func TestTakeoverInACrowd(t *testing.T) {
-	s := sharedService(t, 1)
+	s := sharedService(t)
 	old := s.Start()
 	old.Ready(t)
 	half := msgpackrpc.AppendRequest(nil, 1, "oddaja", make([]byte, 512), "i", "x", "k", "x", "s", "1", "d", "1000", "m", "1")
@@ -160,7 +158,13 @@
 			}
 		}()
 	}
-	time.Sleep(300 * time.Millisecond)
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if n, _ := old.Usage(); n >= 100 {
+			break
+		} else if time.Now().After(deadline) {
+			t.Fatalf("the crowd takes %d descriptors", n)
+		}
+	}
 	l := s.Load(4, 3, 50*time.Millisecond, 3)
 	most, heaviest := 0, 0
 	watch := func(d time.Duration, gs ...*lab.Generation) {
@@ -187,7 +191,7 @@
 	close(over)
 	crowd.Wait()
 	t.Logf("descriptors: %d alone, at most %d; memory at most %d MB; %d served, %d unheard", alone, most, heaviest>>20, l.Served, l.Unheard)
-	if alone < 60 || most > 256 || heaviest > 64<<20 && !raced {
+	if alone < 100 || most > 256 || heaviest > 64<<20 && !raced {
 		t.Errorf("%d descriptors of 256, %d alone, %d MB of 64", most, alone, heaviest>>20)
 	}
 	if l.Unheard > 0 {
@@ -195,12 +199,56 @@
 	}
 }
 
+// The SCGI front and the SNMP agent have one address in both processes, and the newer one serves on alone.
+func TestTakeoverOfOtherFronts(t *testing.T) {
+	s := sharedService(t)
+	// Addresses that nobody else is given meanwhile: bound here as the two processes bind them, and not listened on.
+	var addrs []string
+	for _, kind := range []int{unix.SOCK_STREAM, unix.SOCK_DGRAM} {
+		fd, err := unix.Socket(unix.AF_INET, kind|unix.SOCK_CLOEXEC, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer unix.Close(fd)
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+			t.Fatal(err)
+		}
+		at, err := unix.Getsockname(fd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		addrs = append(addrs, fmt.Sprint("127.0.0.1:", at.(*unix.SockaddrInet4).Port))
+	}
+	s.Edit = func(text string) string {
+		return strings.Replace(text, `"settings"`, fmt.Sprintf(`"scgi":{"listen":%q},"snmp":{"listen":%q,"community":"x"},"settings"`,
+			addrs[0], addrs[1]), 1)
+	}
+	old := s.Start()
+	old.Ready(t)
+	next := s.Start()
+	next.Ready(t)
+	for _, leaves := range []bool{false, true} {
+		if leaves {
+			old.Leave(t)
+		}
+		for range 8 {
+			if r, err := ask.Once(ask.SCGI, addrs[0], ask.Request{Class: "krog", Body: []byte("x"), Wait: 4 * time.Second}); err != nil || r.Outcome != "served" {
+				t.Fatalf("the older has left: %v: %+v, %v", leaves, r, err)
+			}
+		}
+	}
+	if !strings.Contains(next.Log(), "snmp: listening on "+addrs[1]) {
+		t.Error(next.Log())
+	}
+}
+
 // Told to leave with nobody to take over, a process on a held socket takes who connects late and turns him away: closing
 // its own end would refuse nobody, and leave him waiting.
 func TestLeaveOnHeldSocket(t *testing.T) {
-	s := sharedService(t, 1)
-	s.Edit = func(text string) string { // leaves after 3.7 s, and runs nothing from 500 ms on
-		return strings.NewReplacer(`"stop_ms":1000`, `"stop_ms":3700`, `"deadline":1000000`, `"deadline":9000000`).Replace(text)
+	s := sharedService(t)
+	s.Edit = func(text string) string { // leaves after 3.7 s, and runs nothing from 1.8 s on
+		return strings.Replace(text, `"stop_ms":1000`, `"stop_ms":3700`, 1)
 	}
 	g := s.Start()
 	g.Ready(t)
@@ -208,45 +256,20 @@
 	for !strings.Contains(g.Log(), "phase draining") {
 		time.Sleep(time.Millisecond)
 	}
-	time.Sleep(time.Second) // past the drain's window of 500 ms, and 2 s before nobody is taken any more
+	time.Sleep(2100 * time.Millisecond) // past the drain's window of 2 s, and 1.3 s before nobody is taken any more
 	l := s.Load(0, 1, 1, 1)
+	began := time.Now()
 	l.Ask("late", "1")
-	if l.Unheard+l.Served > 0 || s.Plant.Runs()["late"] > 0 {
-		t.Errorf("%d unheard, %d served", l.Unheard, l.Served)
+	if l.Unheard+l.Served > 0 || time.Since(began) > 400*time.Millisecond || s.Runs()["late"] > 0 {
+		t.Errorf("%d unheard, %d served, answered after %v", l.Unheard, l.Served, time.Since(began))
 	}
 	g.Leave(t)
 }
 
-// without returns the text of every configuration that lacks one key, and what that key is called.
-func without(text string) map[string]string {
-	list := map[string]string{}
-	var paths [][]string
-	var visit func(path []string, v *fastjson.Value)
-	visit = func(path []string, v *fastjson.Value) {
-		if v.Type() == fastjson.TypeObject {
-			v.GetObject().Visit(func(key []byte, m *fastjson.Value) {
-				at := append(append([]string(nil), path...), string(key))
-				paths = append(paths, at)
-				visit(at, m)
-			})
-		}
-		for i, m := range v.GetArray() {
-			visit(append(append([]string(nil), path...), strconv.Itoa(i)), m)
-		}
-	}
-	visit(nil, fastjson.MustParse(text))
-	for _, p := range paths {
-		v := fastjson.MustParse(text)
-		v.Get(p[:len(p)-1]...).Del(p[len(p)-1])
-		list[strings.Join(p, ".")] = string(v.MarshalTo(nil))
-	}
-	return list
-}
-
 // Files that are no good, of every kind, come with SIGHUPs under load: each is turned down in one line, nothing changes,
 // nothing is lost, and a good one is taken up afterwards.
 func TestBadFilesUnderLoad(t *testing.T) {
-	s := sharedService(t, 1)
+	s := sharedService(t)
 	g := s.Start()
 	g.Ready(t)
 	data, err := os.ReadFile(g.File)
@@ -254,7 +277,7 @@
 		t.Fatal(err)
 	}
 	good := string(data)
-	bad := without(good)
+	bad := lab.Without(good)
 	if len(bad) < 25 {
 		t.Fatalf("%d keys", len(bad))
 	}
@@ -262,7 +285,7 @@
 		bad[fmt.Sprint("cut at ", i)] = good[:i]
 	}
 	for _, value := range []string{"0", "-1", `"4400000"`, "null", "true", "[]", "1e99"} {
-		bad["a deadline of "+value] = strings.Replace(good, `"deadline":1000000`, `"deadline":`+value, 1)
+		bad["a deadline of "+value] = strings.Replace(good, `"deadline":4400000`, `"deadline":`+value, 1)
 	}
 	l := s.Load(8, 3, 50*time.Millisecond, 1)
 	hup := func(text, line string, n int) {
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -48,6 +48,17 @@
 	r.Move("")
 	r.Move(second.LocalAddr().String())
 	expect(t, second, "announce n3 false")
+	r.Quiet() // another process of the name reports
+	second.SetReadDeadline(time.Now().Add(3 * Every))
+	late := 0
+	for b := make([]byte, 100); ; late++ {
+		if _, _, err := second.ReadFrom(b); err != nil {
+			break
+		}
+	}
+	if late > 1 { // one may have been on its way
+		t.Errorf("%d reports of one that is quiet", late)
+	}
 	cancel()
 	<-done
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -275,3 +275,32 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// A smaller budget holds at once for those that idle, the least missed first; what has a request open stays.
+func TestSetMost(t *testing.T) {
+	play(t, 0, func(l *Listener, dial func() net.Conn, _ func() int) {
+		l.SetMost(4)
+		var all []net.Conn
+		for range 4 {
+			all = append(all, dial())
+		}
+		for _, c := range all[:2] {
+			c.Write([]byte{1}) // a request is open
+		}
+		all[3].Write([]byte{0}) // has asked once
+		synctest.Wait()
+		time.Sleep(2 * idleGrace)
+		l.SetMost(3)
+		synctest.Wait()
+		for i, want := range []bool{false, false, true, false} {
+			if closed(t, all[i]) != want {
+				t.Errorf("connection %d: closed is %v", i, !want)
+			}
+		}
+		l.SetMost(1)
+		synctest.Wait()
+		if n := l.Connections(); n != 2 || !closed(t, all[3]) {
+			t.Errorf("%d connections, want the two with requests", n)
+		}
+	})
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -72,7 +72,9 @@
 	edge                 string // its edge file, empty for none
 	mu                   sync.Mutex
 	log                  bytes.Buffer
-	read                 chan struct{}
+	read                 chan struct{} // closed at the log's end
+	up                   chan bool     // whether it came to serve
+	callable             chan struct{} // closed when Mgmt is there
 }
 
 // Start starts the service at a site, with an edge file of the given text where that is not empty.
@@ -90,16 +92,30 @@
 	if err := os.WriteFile(file, []byte(s.config(vm)), 0o600); err != nil {
 		return nil, err
 	}
-	p := &Process{read: make(chan struct{})}
+	edgeFile := ""
 	args := append([]string{command, "--config", file}, more...)
 	if edge != "" {
-		p.edge = filepath.Join(dir, "edge.json")
-		if err := os.WriteFile(p.edge, []byte(edge), 0o600); err != nil {
+		edgeFile = filepath.Join(dir, "edge.json")
+		if err := os.WriteFile(edgeFile, []byte(edge), 0o600); err != nil {
 			return nil, err
 		}
-		args = append(args, "--edge", p.edge)
+		args = append(args, "--edge", edgeFile)
 	}
-	p.cmd = exec.Command(bin, args...)
+	p, err := launch(exec.Command(bin, args...))
+	if err != nil {
+		return nil, err
+	}
+	p.edge = edgeFile
+	if !<-p.up {
+		p.cmd.Wait()
+		return nil, fmt.Errorf("the service did not come up:\n%s", p.Log())
+	}
+	return p, nil
+}
+
+// launch starts a process and follows its log.
+func launch(cmd *exec.Cmd) (*Process, error) {
+	p := &Process{cmd: cmd, read: make(chan struct{}), up: make(chan bool, 1), callable: make(chan struct{})}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it does not outlive the lab
 	errs, err := p.cmd.StderrPipe()
 	if err != nil {
@@ -108,17 +124,12 @@
 	if err := p.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("starting the service: %w", err)
 	}
-	up := make(chan bool, 1)
-	go p.follow(errs, up)
-	if !<-up {
-		p.cmd.Wait()
-		return nil, fmt.Errorf("the service did not come up:\n%s", p.Log())
-	}
+	go p.follow(errs)
 	return p, nil
 }
 
-// follow reads the log to its end and tells when the service serves.
-func (p *Process) follow(r io.Reader, up chan<- bool) {
+// follow reads the log to its end and tells when the service can be called and when it serves.
+func (p *Process) follow(r io.Reader) {
 	defer close(p.read)
 	lines := bufio.NewScanner(r)
 	for lines.Scan() {
@@ -134,13 +145,17 @@
 		}
 		if _, addr, ok := strings.Cut(line, "mgmt: listening on "); ok {
 			p.Mgmt = addr
+			close(p.callable)
 		}
 		if strings.Contains(line, "phase serving") {
-			up <- true
+			select {
+			case p.up <- true:
+			default: // once more, after an evacuation
+			}
 		}
 	}
 	select {
-	case up <- false:
+	case p.up <- false:
 	default:
 	}
 }
--- a/internal/lab/operators.go
+++ b/internal/lab/operators.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"os"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -92,16 +91,9 @@
 	time.Sleep(time.Second)
 	for time.Now().Before(end.Add(-time.Second)) {
 		began := time.Now()
-		text := ""
-		if conn, err := net.Dial("tcp", p.Mgmt); err == nil {
-			conn.SetDeadline(began.Add(10 * time.Second))
-			io.WriteString(conn, "GET /api/ready HTTP/1.1\r\n\r\n")
-			answer, _ := io.ReadAll(conn)
-			text = string(answer)
-			conn.Close()
-		}
+		code := p.Call("GET /api/ready")
 		took := time.Since(began)
-		if !strings.HasPrefix(text, "HTTP/1.1 200") || took > time.Second {
+		if code != 200 || took > time.Second {
 			late++
 		}
 		h.RecordValue(took.Microseconds())
--- a/internal/lab/takeover.go
+++ b/internal/lab/takeover.go
@@ -25,7 +25,7 @@
 
 func takeover(b *testing.B, bin string, held bool) {
 	const times, every = 5, 3 * time.Second
-	s := Inherit(b, bin, nil, held, 1, 20*time.Millisecond)
+	s := Inherit(b, bin, nil, held)
 	old := s.Start()
 	old.Ready(b)
 	l := s.Load(8, 2, 60*time.Millisecond, 1)
--- a/internal/settings/shape_test.go
+++ b/internal/settings/shape_test.go
@@ -1,4 +1,4 @@
-package settings
+package settings_test
 
 import (
 	"fmt"
@@ -8,23 +8,10 @@
 	"testing"
 
 	"github.com/valyala/fastjson"
-)
 
-// members are the paths of all members of a configuration, with a way to take each out.
-func members(path string, v *fastjson.Value, visit func(path string, from *fastjson.Value, key string)) {
-	switch v.Type() {
-	case fastjson.TypeObject:
-		v.GetObject().Visit(func(key []byte, m *fastjson.Value) {
-			at := path + "." + string(key)
-			visit(at, v, string(key))
-			members(at, m, visit)
-		})
-	case fastjson.TypeArray:
-		for i, e := range v.GetArray() {
-			members(fmt.Sprintf("%s[%d]", path, i), e, visit)
-		}
-	}
-}
+	"silverpath/internal/lab"
+	"silverpath/internal/settings"
+)
 
 // A file that leaves out any one key, is empty, or is cut at any byte, does not take the place of the one in force.
 func TestReplaces(t *testing.T) {
@@ -34,11 +21,11 @@
 	}
 	text := strings.TrimSpace(string(data))
 	load := func(text string) error {
-		old, err := ParseConfig([]byte(strings.TrimSpace(string(data))), "", "")
+		old, err := settings.ParseConfig([]byte(strings.TrimSpace(string(data))), "", "")
 		if err != nil {
 			t.Fatal(err)
 		}
-		c, err := ParseConfig([]byte(text), "n", "127.0.0.1:1")
+		c, err := settings.ParseConfig([]byte(text), "n", "127.0.0.1:1")
 		if err == nil {
 			err = old.Replaces(c)
 		}
@@ -47,21 +34,14 @@
 	if err := load(text); err != nil {
 		t.Fatalf("the file itself: %v", err)
 	}
-	var paths []string
-	members("", fastjson.MustParse(text), func(path string, _ *fastjson.Value, _ string) { paths = append(paths, path) })
-	if len(paths) < 60 {
-		t.Fatalf("%d keys", len(paths))
+	lacking := lab.Without(text)
+	if len(lacking) < 60 {
+		t.Fatalf("%d keys", len(lacking))
 	}
-	for _, out := range paths {
-		v := fastjson.MustParse(text)
-		members("", v, func(path string, from *fastjson.Value, key string) {
-			if path == out {
-				from.Del(key)
-			}
-		})
-		err := load(string(v.MarshalTo(nil)))
+	for out, less := range lacking {
+		err := load(less)
 		name := out[strings.LastIndex(out, ".")+1:]
-		if strings.HasPrefix(out, ".scgi") && strings.HasPrefix(fmt.Sprint(err), "vm:") {
+		if (out == "scgi" || strings.HasPrefix(out, "scgi.")) && strings.HasPrefix(fmt.Sprint(err), "vm:") {
 			name = "vm" // without the application server an interpreter is missing
 		}
 		if err == nil || !strings.Contains(err.Error(), name) || strings.Contains(err.Error(), "\n") {
--- a/internal/standin/interpreter.go
+++ b/internal/standin/interpreter.go
@@ -208,6 +208,13 @@
 	return all
 }
 
+// Ran reports whether a body was run, where runs are audited.
+func (i *Interpreter) Ran(body string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.runs[body] > 0
+}
+
 // Read takes a request in as the platform's network does: it costs the cores work, one request a core at a
 // time, and then its memory is booked. It returns when the request has been read and is to be written to the service.
 func (i *Interpreter) Read(id string, heldKB float64) {
