A call whose bytes have come keeps its place before operators' front has read it

Its place had been taken: the 50 ms of grace run while its goroutine waits for a turn on the busy core (mgmt.room). Ruled out: late answers (none over 0.6 s) and refused connections. Now one that has unread bytes is passed over, for half a second at most.

--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -12,11 +12,15 @@
 	"log"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"silverpath/internal/stats"
 )
 
@@ -36,6 +40,7 @@
 	// grace is for a call to come whole before its place may be taken. Callers that never finish and come back at once can
 	// so hold up one that does, but not push it out: of fifty, for three times that.
 	grace        = 50 * time.Millisecond
+	mostGrace    = 500 * time.Millisecond // of one that always has a byte more to send
 	writeTimeout = 2 * time.Second
 	// linger is how long what a caller still sends is read after its answer: to close on unread bytes would reset the
 	// connection, and the answer might be lost with it.
@@ -220,19 +225,19 @@
 			s.mu.Unlock()
 			return
 		}
-		oldest := s.places[0]
-		left := grace - time.Since(oldest.since)
-		if left <= 0 {
-			s.places = s.places[1:]
-			oldest.evicted = true
-			oldest.conn.Close()
+		i := slices.IndexFunc(s.places, (*place).stalled)
+		if i >= 0 {
+			victim := s.places[i]
+			s.places = slices.Delete(s.places, i, i+1)
+			victim.evicted = true
+			victim.conn.Close()
 		}
 		s.mu.Unlock()
-		if left <= 0 {
+		if i >= 0 {
 			s.stats.Inc("evicted", Name)
 			continue
 		}
-		hold := time.NewTimer(left)
+		hold := time.NewTimer(grace / 10)
 		select {
 		case <-hold.C:
 		case <-s.freed:
@@ -241,16 +246,34 @@
 	}
 }
 
+// stalled reports whether a call has had its time to come whole. One of which bytes lie unread waits for the service, not
+// the service for it: on a busy core its goroutine may have had no turn yet.
+func (p *place) stalled() bool {
+	age := time.Since(p.since)
+	return age >= mostGrace || age >= grace && !p.unread()
+}
+
+func (p *place) unread() (some bool) {
+	c, ok := p.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
 func (s *Server) free(p *place) {
 	p.conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, q := range s.places {
-		if q == p {
-			s.places = append(s.places[:i], s.places[i+1:]...)
-			break
-		}
-	}
+	s.places = slices.DeleteFunc(s.places, func(q *place) bool { return q == p })
 	select {
 	case s.freed <- struct{}{}:
 	default:
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -161,6 +161,45 @@
 	}
 }
 
+// A call whose bytes have come keeps its place, though it is the oldest and its goroutine has had no turn yet; one that
+// sends a byte now and then does not keep it for ever.
+func TestUnreadKeepsItsPlace(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	s := &Server{most: 2, stats: &stats.Counters{}, freed: make(chan struct{}, 1)}
+	for _, text := range []string{whole, ""} {
+		near, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer near.Close()
+		far, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer far.Close()
+		io.WriteString(near, text)
+		p := &place{conn: far, since: time.Now().Add(-grace)}
+		for deadline := time.Now().Add(10 * time.Second); p.unread() != (text != ""); time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("unread is %v of %q", p.unread(), text)
+			}
+		}
+		s.places = append(s.places, p)
+	}
+	first := s.places[0]
+	if s.room(); len(s.places) != 1 || s.places[0] != first || first.evicted {
+		t.Fatal("the call whose bytes have come gave way")
+	}
+	s.most, first.since = 1, time.Now().Add(-mostGrace)
+	if s.room(); len(s.places) != 0 || !first.evicted {
+		t.Error("a place is kept for ever")
+	}
+}
+
 func FuzzHead(f *testing.F) {
 	f.Add([]byte(whole))
 	f.Add([]byte("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n"))
