--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -146,7 +146,7 @@
 // InARow is how many messages a connection has taken before the others have their turn. A peer that always has more to
 // say would otherwise keep the one core for the 10 ms that the runtime leaves a goroutine: with 40 of them operators
 // waited for half a second.
-const InARow = 4
+const InARow = 2
 
 const (
 	sweepEvery = 250 * time.Millisecond
