Two changes of a cell map at once lose neither: a lock from reading to writing

Seen: of two 'cells move' at once on one map both exit with 0 and one move is gone; at the old program six at once leave version 2. At fault: change() of cmd/silverpath/cells.go read, planned and wrote with nobody kept out between. Now fleet.Change holds the lock of a file beside the map; a second writer waits, then is told no. What another hand wrote meanwhile is not written over. Six commands at once: six versions, no move lost (TestTwoOperators, which fails at the old program).

--- a/cmd/silverpath/cells.go
+++ b/cmd/silverpath/cells.go
@@ -21,9 +21,11 @@
 func cellsCommand() *cobra.Command {
 	var file string
 	var asJSON bool
+	var wait time.Duration
 	cmd := &cobra.Command{Use: "cells", Short: "Show and change a cell map: see docs/cells.md"}
 	cmd.PersistentFlags().StringVar(&file, "map", "deploy/cells.json", "the cell map")
 	cmd.PersistentFlags().BoolVar(&asJSON, "json", false, "print JSON")
+	cmd.PersistentFlags().DurationVar(&wait, "wait", 5*time.Second, "how long to wait for another change that is under way")
 	load := func() (*cells.Map, error) {
 		data, err := os.ReadFile(file)
 		if err != nil {
@@ -45,29 +47,27 @@
 		table(t)
 		return t.Flush()
 	}
-	// change plans with the map, and writes what was planned where that is asked for.
+	// change plans with the map, and writes what was planned where that is asked for. Of two at once the second one waits.
 	change := func(c *cobra.Command, write bool, plan func(m *cells.Map, now time.Time) (*cells.Map, error)) error {
-		m, err := load()
-		if err != nil {
+		if !write {
+			m, err := load()
+			if err != nil {
+				return err
+			}
+			now := time.Now()
+			next, err := plan(m, now)
+			if err == nil {
+				err = next.Check()
+			}
+			if err == nil {
+				err = next.Follows(m, now)
+			}
 			return err
 		}
-		now := time.Now()
-		next, err := plan(m, now)
+		next, err := fleet.Change(file, wait, plan)
 		if err != nil {
 			return err
 		}
-		if err := next.Check(); err != nil {
-			return err
-		}
-		if err := next.Follows(m, now); err != nil {
-			return err
-		}
-		if !write {
-			return nil
-		}
-		if err := fleet.Write(file, next); err != nil {
-			return err
-		}
 		fmt.Fprintf(c.ErrOrStderr(), "%s: version %d written; routers read it within a third of the lease\n", file, next.Version)
 		return nil
 	}
--- /dev/null
+++ b/cmd/silverpath/change_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"silverpath/internal/cells"
+	"silverpath/internal/fleet"
+	"silverpath/internal/settings"
+)
+
+// Operators who change one map at once lose no change: what a command says it wrote is in the map afterwards.
+func TestTwoOperators(t *testing.T) {
+	m := &cells.Map{
+		Version: 1, Window: time.Second, Skew: 100 * time.Millisecond, Lease: time.Second, Patient: time.Second,
+		Cells: []cells.Cell{{Name: "a", Capacity: 1000}, {Name: "b", Capacity: 1000}},
+	}
+	for i, c := range []string{"a", "b"} {
+		m.Servers = append(m.Servers, cells.Server{Name: "s" + c, Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Cell: c, Weight: 1})
+	}
+	const many = 6
+	for i := range many {
+		m.Tenants = append(m.Tenants, cells.Tenant{Name: fmt.Sprint("t", i), Rate: 1, Homes: []cells.Home{{Cell: "a"}}})
+	}
+	file := t.TempDir() + "/cells.json"
+	if err := fleet.Write(file, m); err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	for i := range many {
+		all.Go(func() {
+			if code, out, message := run(t, "", "cells", "move", "--map", file, "--tenant", fmt.Sprint("t", i), "--to", "b"); code != 0 {
+				t.Errorf("%s%s", out, message)
+			}
+		})
+	}
+	all.Wait()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := settings.ParseCells(data)
+	if err != nil || got.Version != 1+many {
+		t.Fatalf("version %d, %v", got.Version, err)
+	}
+	for _, tenant := range got.Tenants {
+		if len(tenant.Homes) != 2 {
+			t.Errorf("the move of %s was lost", tenant.Name)
+		}
+	}
+	// One that was stopped half way keeps the others out, and they say why.
+	lock, err := os.OpenFile(file+".lock", os.O_RDWR, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lock.Close()
+	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX); err != nil {
+		t.Fatal(err)
+	}
+	code, _, message := run(t, "", "cells", "abort", "--map", file, "--wait", "50ms", "--tenant", "t0")
+	if code != 1 || !strings.Contains(message, "another change of the map is under way, by process ") {
+		t.Errorf("%d, %s", code, message)
+	}
+}
