Words between processes on the RPC parser; a role is put together in a file of its own

Need: processes that agree need bodies of up to a megabyte and a listener beside the core's, with no new wire; and the next role would have been woven into service.go, one file that knew seventeen packages. msgpackrpc.Words serves requests and answers between processes on the decoder that there is, whose bound on a body became a field (0: as before). service.go keeps the steps that all roles share, in their order; server.go and router.go have a role each, with budget, reload, drain and main beside them.

--- a/internal/msgpackrpc/client.go
+++ b/internal/msgpackrpc/client.go
@@ -4,6 +4,9 @@
 
 // This file is the other end of the wire, as a balancer has it. The stand-in callers of the tests use it.
 
+// longestResult bounds a result, in bytes.
+const longestResult = 64 << 10
+
 // Reply is what a balancer reads: an answer, the answer to a probe, or a notification.
 type Reply struct {
 	ID           uint64
@@ -40,7 +43,9 @@
 }
 
 // ReadReply reads the next message of a service.
-func ReadReply(r *bufio.Reader) (Reply, error) {
+func ReadReply(r *bufio.Reader) (Reply, error) { return readReply(r, longestResult) }
+
+func readReply(r *bufio.Reader, longest int) (Reply, error) {
 	var a Reply
 	d := decoder{r: r}
 	n, err := d.array()
@@ -80,7 +85,7 @@
 			_, err = r.Discard(1)
 			return err
 		}
-		a.Body, err = d.bytes("result", 64<<10)
+		a.Body, err = d.bytes("result", longest)
 		return err
 	}, &a.Fields)
 }
--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -17,6 +17,7 @@
 // Conn is a balancer's end of a connection: it carries many requests at a time, with ids that rise.
 type Conn struct {
 	conn    net.Conn
+	longest int // bytes of a result
 	writing sync.Mutex
 
 	mu     sync.Mutex
@@ -42,8 +43,10 @@
 }
 
 // NewConn serves an open connection.
-func NewConn(conn net.Conn) *Conn {
-	c := &Conn{conn: conn, open: map[uint64]chan Reply{}}
+func NewConn(conn net.Conn) *Conn { return newConn(conn, longestResult) }
+
+func newConn(conn net.Conn, longest int) *Conn {
+	c := &Conn{conn: conn, longest: longest, open: map[uint64]chan Reply{}}
 	go c.read()
 	return c
 }
@@ -62,7 +65,7 @@
 func (c *Conn) read() {
 	r := bufio.NewReader(c.conn)
 	for {
-		a, err := ReadReply(r)
+		a, err := readReply(r, c.longest)
 		c.mu.Lock()
 		if err != nil {
 			c.broken = true
--- a/internal/msgpackrpc/decode.go
+++ b/internal/msgpackrpc/decode.go
@@ -46,6 +46,8 @@
 type decoder struct {
 	r      *bufio.Reader
 	status bool // status requests are known
+	// longest bounds a body; 0: longestBody.
+	longest int
 	// shut reports, of a class, that its request is refused whatever else it says, and so passed over unread.
 	shut func(class string) bool
 }
@@ -74,6 +76,13 @@
 	return int(n), nil
 }
 
+func (d decoder) body() int {
+	if d.longest > 0 {
+		return d.longest
+	}
+	return longestBody
+}
+
 func (d decoder) array() (int, error) {
 	b, err := d.r.ReadByte()
 	if err != nil {
@@ -192,7 +201,7 @@
 	case b >= 0xd4 && b <= 0xd8: // fixed ext, with its type byte
 		n = 1 + 1<<(b-0xd4)
 	case b >= 0xc7 && b <= 0xc9: // ext
-		n, err = d.length("ext", longestBody, 0, 1<<(b-0xc7))
+		n, err = d.length("ext", d.body(), 0, 1<<(b-0xc7))
 		n++
 	case b == 0xc1:
 		err = malformed("byte 0xc1")
@@ -208,9 +217,9 @@
 	case b&0xe0 == 0xa0:
 		n = int(b & 0x1f)
 	case b >= 0xd9 && b <= 0xdb:
-		n, err = d.length("value", longestBody, 0, 1<<(b-0xd9))
+		n, err = d.length("value", d.body(), 0, 1<<(b-0xd9))
 	case b >= 0xc4 && b <= 0xc6:
-		n, err = d.length("value", longestBody, 0, 1<<(b-0xc4))
+		n, err = d.length("value", d.body(), 0, 1<<(b-0xc4))
 	}
 	for range inner {
 		if err == nil {
@@ -281,7 +290,7 @@
 		}
 		taken = 2
 		if m.fields, err = d.fields(); err == nil {
-			m.body, err = d.bytes("body", longestBody)
+			m.body, err = d.bytes("body", d.body())
 		}
 	}
 	for ; taken < params && err == nil; taken++ {
--- /dev/null
+++ b/internal/msgpackrpc/words.go
@@ -0,0 +1,179 @@
+package msgpackrpc
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"silverpath/internal/buf"
+	"silverpath/internal/front"
+	"silverpath/internal/stats"
+)
+
+// This file carries words between processes of the program over the same messages as the platform's front: a request
+// of a method with fields and a body, and its answer. What differs is that they belong to no core, and how long a body
+// may be.
+
+const (
+	// LongestWord bounds the body of a word, in bytes: a map of a whole fleet with room to spare.
+	LongestWord = 1 << 20
+	mostWords   = 64 // open on a connection
+)
+
+// Word is one request between processes.
+type Word struct {
+	Method string
+	Fields map[string]string
+	Body   []byte
+}
+
+// Verdict is the answer to a word: a body, or what is wrong in a word, each with fields, given as name and value in turn.
+type Verdict struct {
+	Error  string // empty: none
+	Body   []byte
+	Fields []string
+}
+
+// Words serves connections of other processes.
+type Words struct {
+	name   string
+	stats  *stats.Counters
+	answer func(ctx context.Context, w Word) func() Verdict
+}
+
+// NewWords returns a front of words. Answer is called with the words of a connection in their order; what it returns is
+// called beside the words that follow. The context ends with the connection.
+func NewWords(name string, s *stats.Counters, answer func(ctx context.Context, w Word) func() Verdict) *Words {
+	return &Words{name, s, answer}
+}
+
+// Serve is the life of one connection.
+func (f *Words) Serve(conn net.Conn, slot *front.Slot) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := buf.Reader(conn)
+	defer buf.PutReader(r)
+	d := decoder{r: r, longest: LongestWord}
+	var mu sync.Mutex // of writing, and of open
+	var open sync.WaitGroup
+	var err error
+	n := 0
+	conn.SetReadDeadline(time.Now().Add(front.WholeWithin))
+	for err == nil {
+		if _, err = r.Peek(1); err != nil {
+			break
+		}
+		conn.SetReadDeadline(time.Now().Add(front.WholeWithin))
+		var m message
+		if m, err = d.message(); err != nil {
+			break
+		}
+		conn.SetReadDeadline(time.Time{})
+		slot.Asked()
+		if m.kind != request || m.method == probe {
+			continue // nobody who speaks so belongs here, and no harm is done
+		}
+		mu.Lock()
+		if n++; n > mostWords {
+			err = malformed("%d words open", n)
+		}
+		slot.Open(n)
+		mu.Unlock()
+		if err != nil {
+			break
+		}
+		f.stats.Inc("words", f.name, m.method)
+		later := f.answer(ctx, Word{m.method, m.fields, m.body})
+		open.Go(func() {
+			v := later()
+			b := appendVerdict(nil, m.id, v)
+			mu.Lock()
+			defer mu.Unlock()
+			n--
+			slot.Open(n)
+			conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := conn.Write(b); err != nil {
+				conn.Close() // the reader ends
+			}
+		})
+	}
+	switch {
+	case err == io.EOF, errors.Is(err, net.ErrClosed):
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.stats.Inc("too_slow", f.name)
+	case errors.Is(err, errMalformed):
+		f.stats.Inc("malformed", f.name)
+		slot.Logf("%s: closing the connection of %v: %v", f.name, conn.RemoteAddr(), err)
+	}
+	conn.Close()
+	cancel()
+	open.Wait()
+}
+
+func appendVerdict(b []byte, id uint64, v Verdict) []byte {
+	b = appendUint(appendUint(appendArray(b, 4), uint64(response)), id)
+	if v.Error != "" {
+		return appendNil(appendFields(appendText(appendArray(b, 2), v.Error), v.Fields))
+	}
+	return appendFields(appendBin(appendArray(appendNil(b), 2), v.Body), v.Fields)
+}
+
+// DialWords opens a connection for words.
+func DialWords(ctx context.Context, addr string) (*Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(conn, LongestWord), nil
+}
+
+// Say sends a word. The channel gets the reply, or is closed without one.
+func (c *Conn) Say(w Word) (<-chan Reply, error) {
+	fields := make([]string, 0, 2*len(w.Fields))
+	for k, v := range w.Fields {
+		fields = append(fields, k, v)
+	}
+	_, reply, err := c.Send(func(id uint64) []byte { return AppendRequest(nil, id, w.Method, w.Body, fields...) })
+	return reply, err
+}
+
+// ReadMessage reads one whole message of either direction as it stands on the wire, of at most so many bytes, for what
+// stands between two processes and understands neither.
+func ReadMessage(r *bufio.Reader, most int) ([]byte, error) {
+	if _, err := r.Peek(1); err != nil {
+		return nil, err
+	}
+	var raw copier
+	raw.r, raw.most = r, most
+	in := bufio.NewReaderSize(&raw, 16) // reads ahead no further than a value's own bytes: copier gives one at a time
+	err := decoder{r: in, longest: most}.skip(0)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return raw.b, err
+}
+
+// copier reads byte by byte and keeps what it read.
+type copier struct {
+	r    *bufio.Reader
+	b    []byte
+	most int
+}
+
+func (c *copier) Read(p []byte) (int, error) {
+	if len(c.b) >= c.most {
+		return 0, malformed("a message over %d bytes", c.most)
+	}
+	x, err := c.r.ReadByte()
+	if err != nil {
+		return 0, err
+	}
+	p[0], c.b = x, append(c.b, x)
+	return 1, nil
+}
--- /dev/null
+++ b/internal/msgpackrpc/words_test.go
@@ -0,0 +1,102 @@
+package msgpackrpc
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"log"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"silverpath/internal/front"
+	"silverpath/internal/stats"
+)
+
+// Words come in their order, a slow answer holds up no later one, bodies may be long, and what is too long or no word ends
+// its connection without an answer and is counted.
+func TestWords(t *testing.T) {
+	var c stats.Counters
+	hold := make(chan struct{})
+	f := NewWords("words", &c, func(_ context.Context, w Word) func() Verdict {
+		return func() Verdict {
+			switch w.Method {
+			case "slow":
+				<-hold
+			case "wrong":
+				return Verdict{Error: "Wrong", Fields: []string{"why", w.Fields["x"]}}
+			}
+			return Verdict{Body: w.Body}
+		}
+	})
+	ln, err := front.Listen("words", "127.0.0.1:0", 8, func() time.Duration { return time.Minute }, f.Serve, log.New(io.Discard, "", 0), &c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go ln.Serve()
+	defer ln.Close()
+	conn, err := DialWords(t.Context(), ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	say := func(w Word) <-chan Reply {
+		r, err := conn.Say(w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	slow := say(Word{Method: "slow", Body: []byte("late")})
+	long := strings.Repeat("x", LongestWord)
+	if a := <-say(Word{Method: "echo", Body: []byte(long)}); string(a.Body) != long {
+		t.Errorf("%d bytes came back, %q", len(a.Body), a.Error)
+	}
+	if a := <-say(Word{Method: "wrong", Fields: map[string]string{"x": "because"}}); a.Error != "Wrong" || a.Fields["why"] != "because" {
+		t.Errorf("%+v", a)
+	}
+	close(hold)
+	if a := <-slow; string(a.Body) != "late" {
+		t.Errorf("%+v", a)
+	}
+	if r, err := conn.Say(Word{Method: "echo", Body: append([]byte(long), 'x')}); err == nil { // it may break while it is written
+		if a, ok := <-r; ok {
+			t.Errorf("a word over the bound is answered: %+v", a)
+		}
+	}
+	raw, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	raw.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	raw.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if b, err := io.ReadAll(raw); len(b) > 0 || err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("%q, %v", b, err)
+	}
+	for until := time.Now().Add(5 * time.Second); c.Get("malformed", "words") < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%d counted", c.Get("malformed", "words"))
+		}
+	}
+}
+
+// A message is read as it stands on the wire, whatever it says, and no further.
+func TestReadMessage(t *testing.T) {
+	one := AppendRequest(nil, 7, "krog", bytes.Repeat([]byte("b"), 300), "i", "x", "s", "1")
+	two := AppendGiveUp(nil, 7)
+	r := bufio.NewReader(bytes.NewReader(append(append([]byte{}, one...), two...)))
+	for _, want := range [][]byte{one, two} {
+		if got, err := ReadMessage(r, 1000); err != nil || !bytes.Equal(got, want) {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+	if _, err := ReadMessage(r, 1000); err != io.EOF {
+		t.Error(err)
+	}
+	if _, err := ReadMessage(bufio.NewReader(bytes.NewReader(one)), 100); err == nil {
+		t.Error("a message over the bound is read")
+	}
+}
--- /dev/null
+++ b/internal/service/describe.go
@@ -0,0 +1,71 @@
+package service
+
+import (
+	"fmt"
+	"strings"
+
+	"silverpath/internal/mgmt"
+	"silverpath/internal/settings"
+)
+
+// Describe says, for a person, what a configuration sets up.
+func Describe(c settings.Config) string {
+	b := budget(c)
+	s := fmt.Sprintf("%s: ok, %d classes, %d cores, %.0f MB, %d descriptors, stops within %v\n",
+		c.Name, len(c.Server.Classes), c.Server.Cores, c.MemoryMB, c.Sockets, c.Stop)
+	for _, part := range []struct {
+		what, addr string
+		most       int
+	}{
+		{"MessagePack-RPC front", c.Listen, b.Platform}, {"SCGI front", c.SCGI.Listen, b.SCGI},
+		{"interpreter", c.VM, 1}, {"fleet", fleetOf(c), b.Upstream}, {"SCGI application server", c.SCGI.Upstream, b.Upstream},
+		{"vault", c.Vault, b.Vault}, {"announce service", c.Announce, 1}, {"SNMP agent", c.SNMP.Listen, 1},
+		{"management front", c.Mgmt, mgmt.Places(c.Sockets)},
+	} {
+		if part.addr == "" {
+			s += fmt.Sprintf("  %s: off\n", part.what)
+		} else {
+			s += fmt.Sprintf("  %s: %s, at most %d connections\n", part.what, part.addr, part.most)
+		}
+	}
+	return s + describeEdge(c.Edge)
+}
+
+// fleetOf is the file that a router has its map from.
+func fleetOf(c settings.Config) string {
+	if c.Edge.Fleet == nil {
+		return ""
+	}
+	return c.Edge.Fleet.Map
+}
+
+// describeEdge says what an edge file sets up.
+func describeEdge(e settings.Edge) string {
+	if !e.On {
+		return "  edge: off\n"
+	}
+	s := fmt.Sprintf("  edge: status requests %s\n", onOff(e.Status))
+	for _, p := range e.Pools.Pools {
+		classes := strings.Join(p.Classes, ", ")
+		if classes == "" {
+			classes = "all other classes"
+		}
+		s += fmt.Sprintf("  pool %s: %s, weight %g, floor %.0f%% of the runs\n", p.Name, classes, p.Weight, 100*p.Floor)
+	}
+	if !e.PoolsOn() {
+		s += "  pools: off\n"
+	}
+	if r := e.Reserve; r != nil {
+		s += fmt.Sprintf("  reserve: %s\n", r)
+	} else {
+		s += "  reserve: off\n"
+	}
+	return s
+}
+
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
+}
--- /dev/null
+++ b/internal/service/reload.go
@@ -0,0 +1,71 @@
+package service
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"silverpath"
+	"silverpath/internal/settings"
+)
+
+// Reload takes up a new configuration while the service runs, whole or not at all: the settings, and the addresses of
+// the interpreter, the vault and the announce service. What is under way goes on as it began. The rest of a
+// configuration holds from a start to the end of the process; where it differs, the log says so and the old one holds.
+func (s *Service) Reload(cfg settings.Config) error {
+	old := s.cfg
+	if err := old.Replaces(cfg); err != nil {
+		return err
+	}
+	if s.cfg.Retuned(cfg) {
+		if err := s.core.Retune(cfg.Server); err != nil {
+			return fmt.Errorf("settings: %w", err)
+		}
+		s.cfg.Server = cfg.Server
+		s.log.Printf("reload: settings: taken up, %s", classes(cfg.Server))
+	}
+	if s.worker != nil {
+		cfg.VM = old.VM
+	}
+	if s.link != nil && cfg.VM != "" && cfg.VM != old.VM {
+		s.log.Printf("reload: vm: from %s to %s", old.VM, cfg.VM)
+		s.cfg.VM = cfg.VM
+		s.link.Move(cfg.VM)
+	}
+	if s.below != nil && cfg.Vault != "" && cfg.Vault != old.Vault {
+		s.log.Printf("reload: vault: from %s to %s", old.Vault, cfg.Vault)
+		s.cfg.Vault = cfg.Vault
+		s.below.Move(cfg.Vault)
+	}
+	if cfg.Announce != old.Announce {
+		s.log.Printf("reload: announce: from %q to %q", old.Announce, cfg.Announce)
+		s.cfg.Announce = cfg.Announce
+		s.reporter.Move(cfg.Announce)
+	}
+	for _, field := range s.cfg.Differs(cfg) {
+		s.log.Printf("reload: %s: differs, and holds only from the next start", field)
+	}
+	if cfg.Edge.PoolsOn() && old.Edge.PoolsOn() && !reflect.DeepEqual(cfg.Edge.Pools, old.Edge.Pools) {
+		if err := s.core.ReloadPools(cfg.Edge.Pools); err != nil {
+			s.log.Printf("reload: the old pools hold: %v", err)
+		} else {
+			s.log.Printf("reload: pools: taken up")
+			s.cfg.Edge.Pools = cfg.Edge.Pools
+		}
+	}
+	if s.fleet != nil {
+		s.fleet.Reload()
+	}
+	s.stats.Inc("reloads", "done")
+	s.log.Printf("reload: done")
+	return nil
+}
+
+// classes names the classes of settings.
+func classes(set silverpath.Settings) string {
+	var names []string
+	for _, k := range set.Classes {
+		names = append(names, k.Name)
+	}
+	return "classes " + strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/service/router.go
@@ -0,0 +1,26 @@
+package service
+
+import (
+	"fmt"
+
+	"silverpath/internal/fleet"
+)
+
+// asRouter makes the service a router: the fleet is its runner, and it has no interpreter and nothing below.
+func (s *Service) asRouter(b Budget) error {
+	set := s.cfg.Edge.Fleet
+	src, err := fleet.OpenFile(set.Map, set.State)
+	if err != nil {
+		return fmt.Errorf("fleet.state: %w", err)
+	}
+	r := set.Routing
+	r.Seed = uint64(s.cfg.Seed)
+	s.fleet, err = fleet.New(fleet.Config{Source: src, Routing: r, Cores: s.cfg.Server.Cores, Probe: set.Probe, Sockets: b.Upstream},
+		s.core, s.log, s.stats)
+	if err != nil {
+		return fmt.Errorf("fleet.map: %w", err)
+	}
+	s.core.Tells("fleet", s.fleet.Status)
+	s.keep = append(s.keep, s.fleet.Keep)
+	return s.core.Attach(s.fleet, nil)
+}
--- /dev/null
+++ b/internal/service/server.go
@@ -0,0 +1,48 @@
+package service
+
+import (
+	"time"
+
+	"silverpath/internal/core"
+	"silverpath/internal/interp"
+	"silverpath/internal/scgi"
+	"silverpath/internal/settings"
+	"silverpath/internal/standin"
+	"silverpath/internal/vault"
+)
+
+// asServer makes the service a server: an interpreter or an SCGI application server does the work, and the vault is below.
+func (s *Service) asServer(b Budget) error {
+	if s.cfg.Worker {
+		var err error
+		if s.worker, err = worker(s.cfg); err != nil {
+			return err
+		}
+		s.cfg.VM = s.worker.Addr()
+		s.log.Printf("worker: no configuration: the built-in worker at %s does the work, which is to send back what came", s.cfg.VM)
+	}
+	cfg := s.cfg
+	if cfg.SCGI.Upstream != "" {
+		up := scgi.NewUpstream(cfg.SCGI.Upstream, cfg.Server.Cores, b.Upstream, cfg.SCGI.Timeout, s.core, s.log, s.stats)
+		s.keep = append(s.keep, up.Keep)
+		return s.core.Attach(up, nil)
+	}
+	s.link = interp.New(cfg.VM, cfg.Gauges, s.core, s.log, s.stats)
+	s.keep = append(s.keep, s.link.Keep)
+	var below core.Caller
+	if cfg.Vault != "" {
+		s.below = vault.New(cfg.Vault, b.Vault)
+		below = s.below
+	}
+	return s.core.Attach(s.link, below)
+}
+
+// worker starts the built-in worker: an interpreter whose work takes as long as the operators' own typically does.
+func worker(cfg settings.Config) (*standin.Interpreter, error) {
+	n := cfg.Server.Cores
+	return standin.Listen(standin.Config{
+		Listen: "127.0.0.1:0", Cores: n, Shape: standin.Shape{Knee: float64(n), Thrash: 1, Speed: 1},
+		Other:    standin.Class{Least: 60 * time.Millisecond, Most: 100 * time.Millisecond},
+		MemoryKB: cfg.Server.MemoryKB, RunFactor: cfg.Server.RunFactor, Seed: uint64(cfg.Seed),
+	})
+}
