Who is taken for another process says who it is before it leaves the link

The third process takes the first one's place before the second has looked, so the second learns of the change only by the third's Hello. At fault: Pair.serve closes the link as the second's Hello is read, while the third's own may still wait for the writing goroutine. The Hello is now written before the link is left. TestTakenForAnother fails without the line and passes with it; TestTakeover passes.

--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -195,6 +195,9 @@
 	p.conn, p.link = conn, p.core.PairLinked()
 	p.writing.Unlock()
 	err := p.read(conn)
+	if errors.Is(err, handover.ErrStale) {
+		p.flush(p.present()) // the other finds out by this side's Hello, which may not have been written yet
+	}
 	p.wait = min(max(2*p.wait, lookEvery), mostWait)
 	p.next = time.Now().Add(p.wait)
 	conn.Close()
--- a/internal/pair/pair_test.go
+++ b/internal/pair/pair_test.go
@@ -280,6 +280,39 @@
 	{Kind: handover.Claim, Flight: handover.Flight{Key: "k"}},
 }
 
+// Who is taken for another process says who it is before it leaves the link: the other learns it from nothing else where
+// a third one took the dead one's place before anybody saw it empty.
+func TestTakenForAnother(t *testing.T) {
+	dir := t.TempDir()
+	other, err := openPlaces(dir, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.close()
+	if place, ok := other.take(); !ok || place != 0 {
+		t.Fatal(place, ok)
+	}
+	ln, err := net.Listen("unix", other.socket(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	start(t, dir)
+	for n := range 3 { // links
+		conn, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Write(appendMessage(nil, handover.Message{Kind: handover.Hello, Stamp: 1, Peer: 7, Sole: true}))
+		conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+		m, _, err := readMessage(bufio.NewReader(conn), nil)
+		if err != nil || m.Kind != handover.Hello || m.Stamp == 0 {
+			t.Errorf("link %d: %+v, %v", n, m, err)
+		}
+		conn.Close()
+	}
+}
+
 // Frames come whole from whatever pieces they come in, and a cut one is an error.
 func TestFrames(t *testing.T) {
 	var all []byte
