A group, leases with epochs, a fence and the fleet's duties; off on the platform

Need: nobody owns the fleet's work, so two owners may act at once and a late one undoes what was decided. lease, fence, group and duties decide, without I/O, clock or goroutine; quorum/member runs raft on bbolt and the words of msgpackrpc; owner keeps leases and carries out the keeper, the conductor and the watcher; orders is a server's fence. A map may be a folder whose versions have a place each that is written once.

--- /dev/null
+++ b/cmd/silverpath-quorum/main.go
@@ -0,0 +1,16 @@
+// Silverpath-quorum is the program of members of the group and of owners of duties: see docs/quorum.md.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"silverpath/internal/quorum/member"
+)
+
+func main() {
+	if err := member.Command().Execute(); err != nil {
+		fmt.Fprintf(os.Stderr, "silverpath: %v\n", err)
+		os.Exit(1)
+	}
+}
--- a/cmd/silverpath/cells.go
+++ b/cmd/silverpath/cells.go
@@ -12,7 +12,9 @@
 	"github.com/spf13/cobra"
 
 	"silverpath/internal/cells"
+	"silverpath/internal/duties"
 	"silverpath/internal/fleet"
+	"silverpath/internal/quorum"
 	"silverpath/internal/settings"
 )
 
@@ -21,17 +23,15 @@
 func cellsCommand() *cobra.Command {
 	var file string
 	var asJSON bool
-	var wait time.Duration
+	var wait, within time.Duration
+	var g quorum.Client
 	cmd := &cobra.Command{Use: "cells", Short: "Show and change a cell map: see docs/cells.md"}
 	cmd.PersistentFlags().StringVar(&file, "map", "deploy/cells.json", "the cell map")
 	cmd.PersistentFlags().BoolVar(&asJSON, "json", false, "print JSON")
+	groupFlags(cmd, &g, &within) // given: the change is a request to the owner of the map
 	cmd.PersistentFlags().DurationVar(&wait, "wait", 5*time.Second, "how long to wait for another change that is under way")
 	load := func() (*cells.Map, error) {
-		data, err := os.ReadFile(file)
-		if err != nil {
-			return nil, err
-		}
-		m, err := settings.ParseCells(data)
+		m, err := fleet.Read(file)
 		if err != nil {
 			err = fmt.Errorf("%s: %w", file, err)
 		}
@@ -75,6 +75,9 @@
 	var shard int
 	move := func(use, short string, write bool) *cobra.Command {
 		c := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			if write && g.Group != "" {
+				return request(c, &g, within, duties.KindMove, duties.Move{Tenant: tenant, To: to, Shard: shard}, asJSON)
+			}
 			return change(c, write, func(m *cells.Map, now time.Time) (*cells.Map, error) {
 				p, err := m.PlanMove(now, tenant, to, shard)
 				if err != nil {
@@ -98,6 +101,9 @@
 	}
 	abort := &cobra.Command{Use: "abort", Short: "Take a move back that is prepared or in force", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if g.Group != "" {
+				return request(c, &g, within, duties.KindAbort, duties.Move{Tenant: tenant}, asJSON)
+			}
 			return change(c, true, func(m *cells.Map, now time.Time) (*cells.Map, error) { return m.PlanAbort(now, tenant) })
 		}}
 	abort.Flags().StringVar(&tenant, "tenant", "", "the tenant")
--- a/internal/cells/cells.go
+++ b/internal/cells/cells.go
@@ -18,6 +18,7 @@
 // Map is who serves whom. It is never changed once it is checked; a change is a new map of a higher version.
 type Map struct {
 	Version int
+	Epoch   uint64        // of the keeper that made it, 0 where there is none: docs/duties.md
 	Window  time.Duration // a sheet may come again for so long after its run began
 	Skew    time.Duration // by which the clocks of two routers may differ
 	Lease   time.Duration // a router that has not read a good map for so long sends no more sheets
@@ -36,6 +37,7 @@
 // Server is a member of a cell from a time to a time.
 type Server struct {
 	Name, Addr, Cell string
+	Mgmt             string // where its operators call, for a roll; empty: it takes part in none
 	Weight           float64
 	From, Until      int64 // Unix milliseconds; Until 0: for good
 }
@@ -160,6 +162,9 @@
 	if m.Version <= old.Version {
 		return fmt.Errorf("version: %d is not above that in force, %d", m.Version, old.Version)
 	}
+	if m.Epoch < old.Epoch {
+		return fmt.Errorf("epoch: %d is under that of the map in force, %d", m.Epoch, old.Epoch)
+	}
 	if m.Window < old.Window {
 		return fmt.Errorf("window_ms: shorter than before")
 	}
--- a/internal/cells/cells_test.go
+++ b/internal/cells/cells_test.go
@@ -66,18 +66,22 @@
 		change func(m *Map)
 		want   string
 	}{
-		"the same":            {func(m *Map) { m.Version-- }, ""},
-		"older":               {func(m *Map) { m.Version = 0; m.Tenants[0].Rate = 7 }, "version: 0 is not above"},
-		"a move":              {func(m *Map) { m.Tenants[0].Homes = append(m.Tenants[0].Homes, Home{Cell: "b", From: ahead}) }, ""},
-		"a move at once":      {func(m *Map) { m.Tenants[0].Homes = append(m.Tenants[0].Homes, Home{Cell: "b", From: ahead - 2000}) }, "tenants[0].homes[1].from_ms: not a lease ahead"},
-		"another past":        {func(m *Map) { m.Tenants[0].Homes = []Home{{Cell: "b"}} }, "tenants[0].homes[0].from_ms: not a lease ahead"},
-		"a tenant gone":       {func(m *Map) { m.Tenants = m.Tenants[1:] }, `tenants: "kvizmojster" is gone`},
-		"a server gone":       {func(m *Map) { m.Servers = m.Servers[1:] }, `servers: "s0" is gone`},
-		"a server ends":       {func(m *Map) { m.Servers[0].Until = ahead }, ""},
-		"a server ends now":   {func(m *Map) { m.Servers[0].Until = ahead - 3000 }, "servers[0].until_ms: not a lease ahead"},
-		"a server moves":      {func(m *Map) { m.Servers[0].Cell = "b" }, `servers[0]: "s0" changes its cell`},
-		"a server comes":      {func(m *Map) { m.Servers = append(m.Servers, Server{"n", "127.0.0.1:1", "a", 1, ahead, 0}) }, ""},
-		"a server comes now":  {func(m *Map) { m.Servers = append(m.Servers, Server{"n", "127.0.0.1:1", "a", 1, 0, 0}) }, "servers[12].from_ms: not a lease ahead"},
+		"the same":          {func(m *Map) { m.Version-- }, ""},
+		"older":             {func(m *Map) { m.Version = 0; m.Tenants[0].Rate = 7 }, "version: 0 is not above"},
+		"a move":            {func(m *Map) { m.Tenants[0].Homes = append(m.Tenants[0].Homes, Home{Cell: "b", From: ahead}) }, ""},
+		"a move at once":    {func(m *Map) { m.Tenants[0].Homes = append(m.Tenants[0].Homes, Home{Cell: "b", From: ahead - 2000}) }, "tenants[0].homes[1].from_ms: not a lease ahead"},
+		"another past":      {func(m *Map) { m.Tenants[0].Homes = []Home{{Cell: "b"}} }, "tenants[0].homes[0].from_ms: not a lease ahead"},
+		"a tenant gone":     {func(m *Map) { m.Tenants = m.Tenants[1:] }, `tenants: "kvizmojster" is gone`},
+		"a server gone":     {func(m *Map) { m.Servers = m.Servers[1:] }, `servers: "s0" is gone`},
+		"a server ends":     {func(m *Map) { m.Servers[0].Until = ahead }, ""},
+		"a server ends now": {func(m *Map) { m.Servers[0].Until = ahead - 3000 }, "servers[0].until_ms: not a lease ahead"},
+		"a server moves":    {func(m *Map) { m.Servers[0].Cell = "b" }, `servers[0]: "s0" changes its cell`},
+		"a server comes": {func(m *Map) {
+			m.Servers = append(m.Servers, Server{Name: "n", Addr: "127.0.0.1:1", Cell: "a", Weight: 1, From: ahead})
+		}, ""},
+		"a server comes now": {func(m *Map) {
+			m.Servers = append(m.Servers, Server{Name: "n", Addr: "127.0.0.1:1", Cell: "a", Weight: 1, From: 0})
+		}, "servers[12].from_ms: not a lease ahead"},
 		"a shorter window":    {func(m *Map) { m.Window-- }, "window_ms: shorter"},
 		"another lease":       {func(m *Map) { m.Lease-- }, "lease_ms: neither"},
 		"named anew":          {func(m *Map) { m.Tenants = append(m.Tenants, Tenant{"new", 1, []Home{{Cell: "c"}}}) }, ""},
--- a/internal/cells/plan.go
+++ b/internal/cells/plan.go
@@ -139,6 +139,35 @@
 	return m.with(tenant, Home{Cell: back.Cell, Shard: back.Shard, From: max(least, t.Homes[last].From+1), Abort: true}), nil
 }
 
+// PlanGone is the next map without a server that is gone: it belongs no more from a lease ahead on. It says no where the
+// server's cell would be left with under half of its servers, as then health says more of the watchers than of it.
+func (m *Map) PlanGone(now time.Time, server string) (*Map, error) {
+	s := m.Server(server)
+	if s == nil {
+		return nil, fmt.Errorf("no such server: %q", server)
+	}
+	if s.Until > 0 {
+		return nil, fmt.Errorf("server %s leaves already", server)
+	}
+	all, stay := 0, 0
+	for _, o := range m.Servers {
+		if o.Cell == s.Cell {
+			all++
+			if o.Until == 0 && o.Name != server {
+				stay++
+			}
+		}
+	}
+	if stay < 1 || 2*stay < all {
+		return nil, fmt.Errorf("cell %s would be left with %d of %d servers", s.Cell, stay, all)
+	}
+	next := *m
+	next.Version++
+	next.Servers = slices.Clone(m.Servers)
+	next.Server(server).Until = now.Add(2*m.Lease + m.Skew).UnixMilli()
+	return &next, nil
+}
+
 // Compact is the next map without the homes and servers that no repeat can come from any more.
 func (m *Map) Compact(now time.Time) *Map {
 	next := *m
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,6 +66,8 @@
 	fair   *routing.Fair
 	peers  map[string]*peer
 	flying atomic.Int64
+	asked  atomic.Uint64 // worth, in thousandths, of all requests that have been answered
+	served atomic.Uint64 // and of those that were served
 	said   map[string]routing.Health
 }
 
@@ -240,7 +242,10 @@
 		began := time.Now()
 		class, _ := r.events.Class(q.Class)
 		a := r.lead(q, class)
+		worth := uint64(1000 * max(0, class.Worth))
+		r.asked.Add(worth)
 		if a.Outcome == core.Served {
+			r.served.Add(worth)
 			r.events.Ended(q.ID, silverpath.OK, time.Since(began), a.Body)
 		} else {
 			r.events.Returned(q.ID, a, time.Since(began))
--- /dev/null
+++ b/internal/fleet/series.go
@@ -0,0 +1,157 @@
+package fleet
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"silverpath/internal/cells"
+	"silverpath/internal/settings"
+)
+
+// Series is a folder with the versions of a map, a file each. The place of a version is written once and never again,
+// whoever comes, and however late: a link to a file whole and synced is made under the version's name, which the system
+// refuses where that name is taken. So a writer that was stopped between its check and its act can undo nothing.
+type Series struct{ Dir string }
+
+// ErrTaken says that something else stands in the place of a version.
+var ErrTaken = errors.New("its place is taken")
+
+// withdrawn stands in the place of a version that is not to come any more.
+var withdrawn = []byte("withdrawn\n")
+
+const (
+	suffix = ".json"
+	kept   = 64 // versions
+)
+
+func (s Series) name(version int) string {
+	return filepath.Join(s.Dir, fmt.Sprintf("%010d%s", version, suffix))
+}
+
+// versions are those that have a place, rising.
+func (s Series) versions() ([]int, error) {
+	files, err := os.ReadDir(s.Dir) // in the order of their names
+	if err != nil {
+		return nil, err
+	}
+	var list []int
+	for _, f := range files {
+		stem, ok := strings.CutSuffix(f.Name(), suffix)
+		if v, err := strconv.Atoi(stem); ok && err == nil {
+			list = append(list, v)
+		}
+	}
+	return list, nil
+}
+
+// Head is the latest version that is a good map, as it stands there too; nil where there is none. One that is no good is
+// passed over, and is an error beside the head.
+func (s Series) Head() (m *cells.Map, raw []byte, err error) {
+	list, err := s.versions()
+	if err != nil {
+		return nil, nil, err
+	}
+	var bad error
+	for i := len(list) - 1; i >= 0; i-- {
+		raw, err := os.ReadFile(s.name(list[i]))
+		if err == nil && bytes.Equal(raw, withdrawn) {
+			continue
+		}
+		if err == nil {
+			m, err = settings.ParseCells(raw)
+		}
+		if err == nil && m.Version != list[i] {
+			err = fmt.Errorf("version: %d in the place of %d", m.Version, list[i])
+		}
+		if err == nil {
+			return m, raw, bad
+		}
+		bad = errors.Join(bad, fmt.Errorf("%s: %w", s.name(list[i]), err))
+	}
+	return nil, nil, bad
+}
+
+// Place is what stands in the place of a version, nil for nothing.
+func (s Series) Place(version int) ([]byte, error) {
+	raw, err := os.ReadFile(s.name(version))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	return raw, err
+}
+
+// Put writes a version, or, of nil, withdraws it. That it stands there already is no error.
+func (s Series) Put(version int, raw []byte) error {
+	if raw == nil {
+		raw = withdrawn
+	}
+	f, err := os.CreateTemp(s.Dir, ".next")
+	if err != nil {
+		return fmt.Errorf("version %d: %w", version, err)
+	}
+	defer os.Remove(f.Name())
+	_, err = f.Write(raw)
+	if err == nil {
+		err = f.Chmod(0o644)
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return fmt.Errorf("version %d: %w", version, err)
+	}
+	if err = os.Link(f.Name(), s.name(version)); errors.Is(err, os.ErrExist) {
+		there, err := s.Place(version)
+		if err == nil && !bytes.Equal(there, raw) {
+			err = fmt.Errorf("version %d: %w", version, ErrTaken)
+		}
+		return err
+	}
+	if err != nil {
+		return fmt.Errorf("version %d: %w", version, err)
+	}
+	dir, err := os.Open(s.Dir)
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	if err := dir.Sync(); err != nil {
+		return fmt.Errorf("version %d: %w", version, err)
+	}
+	s.forget(version)
+	return nil
+}
+
+// forget takes the oldest versions away. What a late writer puts in such a place is under the head, and nobody reads it.
+func (s Series) forget(head int) {
+	list, _ := s.versions()
+	for _, v := range list {
+		if v <= head-kept {
+			os.Remove(s.name(v))
+		}
+	}
+}
+
+// Read reads a map from a file, or the head of a series from a folder.
+func Read(path string) (*cells.Map, error) {
+	if at, err := os.Stat(path); err == nil && at.IsDir() {
+		m, _, err := Series{path}.Head()
+		if m == nil && err == nil {
+			err = errors.New("no version yet")
+		}
+		if m != nil {
+			err = nil // the head is good; what is no good above it is nobody's order
+		}
+		return m, err
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return settings.ParseCells(data)
+}
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -21,7 +21,7 @@
 	Load(old *cells.Map) (*cells.Map, time.Time, error)
 }
 
-// File is a map in a file, beside a store that keeps the last good one over a restart of the router.
+// File is a map in a file, or the head of a series in a folder, beside a store that keeps the last good one over a restart of the router.
 type File struct {
 	path  string
 	store *bbolt.DB // nil: none
@@ -90,13 +90,7 @@
 	return m, now, nil
 }
 
-func (f *File) parse() (*cells.Map, error) {
-	data, err := os.ReadFile(f.path)
-	if err != nil {
-		return nil, err
-	}
-	return settings.ParseCells(data)
-}
+func (f *File) parse() (*cells.Map, error) { return Read(f.path) }
 
 // kept is the map in the store and when it was last read, nil for none.
 func (f *File) kept() (m *cells.Map, read time.Time) {
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -14,6 +14,8 @@
 	o := a.NewObject()
 	o.Set("map_version", a.NewNumberInt(m.Version))
 	o.Set("map_read_ms_ago", a.NewNumberInt(int(time.Since(m.read).Milliseconds())))
+	o.Set("worth_asked", a.NewNumberFloat64(float64(r.asked.Load())/1000))
+	o.Set("worth_served", a.NewNumberFloat64(float64(r.served.Load())/1000))
 	list := a.NewArray()
 	for i, s := range states {
 		e := a.NewObject()
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -11,6 +11,7 @@
 	"io"
 	"log"
 	"net"
+	"net/url"
 	"os"
 	"slices"
 	"strconv"
@@ -74,9 +75,16 @@
 
 func (p *problem) Error() string { return p.why }
 
+// Orders is who takes orders of the fleet: calls that name a duty, the epoch of its owner and the step of its intent.
+type Orders interface {
+	// Take has an order done, or says why not. It may wait for a disk, and for the group.
+	Take(act, duty string, epoch, step uint64, do func() (bool, string)) (bool, string)
+}
+
 // call is one call as it was read.
 type call struct {
 	method, path string
+	query        string
 	body         int // bytes
 }
 
@@ -103,7 +111,7 @@
 		return c, &problem{505, "malformed", "not HTTP/1.1"}
 	}
 	c.method = parts[0]
-	c.path, _, _ = strings.Cut(parts[1], "?")
+	c.path, c.query, _ = strings.Cut(parts[1], "?")
 	told := false
 	for {
 		b, err := line()
@@ -151,6 +159,7 @@
 	ln    net.Listener
 	most  int
 	op    Operator
+	order Orders // nil: none are taken
 	log   *log.Logger
 	stats *stats.Counters
 	took  *stats.Timing
@@ -177,6 +186,9 @@
 	return &Server{ln: ln, most: most, op: op, log: l, stats: s, took: s.Timing("call", Name), freed: make(chan struct{}, 1)}, nil
 }
 
+// Orders sets who takes orders. It is called before Serve.
+func (s *Server) Orders(o Orders) { s.order = o }
+
 // Addr is the address listened on.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
@@ -336,7 +348,15 @@
 		s.refuse(conn, &problem{405, "wrong_method", "call it with " + k.method}, "Allow: "+k.method)
 		return
 	}
-	yes, why := k.do(s.op)
+	do := func() (bool, string) { return k.do(s.op) }
+	if s.order != nil && k.method == "POST" && c.query != "" {
+		var bad *problem
+		if do, bad = s.ordered(c, do); bad != nil {
+			s.refuse(conn, bad)
+			return
+		}
+	}
+	yes, why := do()
 	code, word := status(200), "yes"
 	if !yes {
 		code, word = k.no, "no"
@@ -345,6 +365,67 @@
 	s.write(conn, code, why)
 }
 
+// ordered has a call that is an order taken as one.
+func (s *Server) ordered(c call, do func() (bool, string)) (func() (bool, string), *problem) {
+	q, err := url.ParseQuery(c.query)
+	bad := &problem{400, "malformed", "an order has duty, epoch and step"}
+	if err != nil || q.Get("duty") == "" {
+		return nil, bad
+	}
+	epoch, err := strconv.ParseUint(q.Get("epoch"), 10, 64)
+	if err != nil {
+		return nil, bad
+	}
+	step, err := strconv.ParseUint(q.Get("step"), 10, 64)
+	if err != nil {
+		return nil, bad
+	}
+	return func() (bool, string) {
+		yes, why := s.order.Take(strings.TrimPrefix(c.path, "/api/"), q.Get("duty"), epoch, step, do)
+		s.stats.Inc("orders", map[bool]string{true: "taken", false: "refused"}[yes])
+		if !yes {
+			s.log.Printf("%s: order refused: %s: %s", Name, c.path, why)
+		}
+		return yes, why
+	}, nil
+}
+
+// Call makes one call of another process: the form is METHOD /PATH. It reports whether the answer is a yes, and its line.
+func Call(ctx context.Context, addr, form string) (yes bool, why string, err error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return false, "", err
+	}
+	defer conn.Close()
+	if until, ok := ctx.Deadline(); ok {
+		conn.SetDeadline(until)
+	}
+	if _, err := fmt.Fprintf(conn, "%s HTTP/1.1\r\nContent-Length: 0\r\n\r\n", form); err != nil {
+		return false, "", err
+	}
+	r := bufio.NewReader(io.LimitReader(conn, mostHead))
+	first, err := r.ReadString('\n')
+	if err != nil {
+		return false, "", err
+	}
+	parts := strings.SplitN(first, " ", 3)
+	if len(parts) < 2 {
+		return false, "", fmt.Errorf("no answer that can be read: %q", first)
+	}
+	for line := first; strings.TrimSpace(line) != "" && err == nil; {
+		line, err = r.ReadString('\n')
+	}
+	if err != nil {
+		return false, "", err
+	}
+	body, err := io.ReadAll(r)
+	if err != nil && len(body) == 0 {
+		return false, "", err
+	}
+	return strings.HasPrefix(parts[1], "2"), strings.TrimSpace(string(body)), nil
+}
+
 // refuse answers a call that is not made. Lines about bad calls are bounded; the counters have them all.
 func (s *Server) refuse(conn net.Conn, p *problem, headers ...string) {
 	s.stats.Inc("bad_call", Name, p.name)
--- /dev/null
+++ b/internal/quorum/member/main.go
@@ -0,0 +1,119 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"os"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"silverpath/internal/front"
+	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/owner"
+	"silverpath/internal/quorum"
+	"silverpath/internal/settings"
+	"silverpath/internal/stats"
+)
+
+const (
+	memberMost   = 128       // connections of a member, of others and of those who ask
+	memberMemory = 192 << 20 // bytes, at which the collector works harder
+)
+
+// Clocks is the rate of this process's clock for leases, in test programs only; 0: 1.
+var Clocks float64
+
+// Logger is the log of a process of the group: for people, or for machines.
+func Logger(out io.Writer, asJSON bool) zerolog.Logger {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	if !asJSON {
+		out = zerolog.ConsoleWriter{Out: out, NoColor: true, TimeFormat: "15:04:05.000000", TimeLocation: time.UTC}
+	}
+	return zerolog.New(out).With().Timestamp().Logger()
+}
+
+// Main runs a member of the group, an owner of duties, or both in one process, until a signal to leave. A member whose
+// disk can't be trusted ends with an error.
+func Main(set settings.Quorum, signals <-chan os.Signal, out io.Writer) error {
+	debug.SetMemoryLimit(memberMemory)
+	l := Logger(out, set.JSON)
+	counters := &stats.Counters{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var all sync.WaitGroup
+	defer all.Wait()
+	failed := make(chan error, 1)
+	stopMember := func() {}
+	if set.Member != nil {
+		m, ln, err := openMember(set, l, counters)
+		if err != nil {
+			return err
+		}
+		defer ln.Close()
+		l.Info().Str("event", "group.listening").Str("process", set.Name).Stringer("addr", ln.Addr()).Send()
+		go ln.Serve()
+		member, stop := context.WithCancel(context.Background())
+		defer stop()
+		stopMember = stop
+		all.Go(func() { failed <- m.Run(member) })
+	}
+	owning := make(chan struct{})
+	if set.Owner != nil {
+		group := &quorum.Client{Group: set.Group.Name, Addrs: set.Group.Members}
+		defer group.Close()
+		o := owner.New(owner.Config{Name: set.Name, Set: *set.Owner, Group: group, Log: l, Stats: counters, Rate: Clocks})
+		go func() {
+			defer close(owning)
+			o.Run(ctx)
+		}()
+	} else {
+		close(owning)
+	}
+	for {
+		select {
+		case err := <-failed:
+			counters.Print(out)
+			return err
+		case sig := <-signals:
+			if sig == syscall.SIGUSR1 {
+				counters.Print(out)
+				continue
+			}
+			if sig == syscall.SIGHUP {
+				l.Info().Str("event", "group.reload").Str("why", "its settings hold from a start to its end").Send()
+				continue
+			}
+			l.Info().Str("event", "group.leaving").Str("process", set.Name).Stringer("signal", sig).Send()
+			cancel()
+			<-owning // its duties are handed on first
+			stopMember()
+			counters.Print(out)
+			return nil
+		}
+	}
+}
+
+func openMember(set settings.Quorum, l zerolog.Logger, counters *stats.Counters) (*Member, *front.Listener, error) {
+	if err := os.MkdirAll(set.Member.Dir, 0o700); err != nil {
+		return nil, nil, fmt.Errorf("member.dir: %w", err)
+	}
+	m, err := Open(Config{Name: set.Name, Group: set.Group.Name, Addr: set.Member.Addr, Dir: set.Member.Dir,
+		Tick: set.Member.Tick, Log: l, Stats: counters, Rate: Clocks})
+	if err != nil {
+		return nil, nil, fmt.Errorf("member.dir: %w", err)
+	}
+	words := msgpackrpc.NewWords(Name, counters, m.Answer)
+	ln, err := front.Listen(Name, set.Member.Listen, memberMost, func() time.Duration { return time.Minute }, words.Serve,
+		log.New(l, "", 0), counters)
+	if err != nil {
+		return nil, nil, errors.Join(fmt.Errorf("member.listen: %w", err), m.Close())
+	}
+	return m, ln, nil
+}
--- /dev/null
+++ b/internal/quorum/member/peer.go
@@ -0,0 +1,171 @@
+package member
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"strconv"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"silverpath/internal/group"
+	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/quorum"
+)
+
+// peer carries words to one other member. What can't be sent is dropped: the library sends it again where it matters.
+type peer struct {
+	group.Peer
+	queue chan *pb.Message
+	stop  context.CancelFunc
+}
+
+const (
+	queued      = 512     // messages to a member
+	roomForRest = 4 << 10 // of a word, beside its messages
+)
+
+// pack puts messages one after the other, each behind its length.
+func pack(b []byte, m *pb.Message) ([]byte, error) {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0)
+	b, err := proto.MarshalOptions{}.MarshalAppend(b, m)
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	return b, err
+}
+
+func unpack(b []byte) ([]*pb.Message, error) {
+	var list []*pb.Message
+	for len(b) > 0 {
+		if len(b) < 4 || uint64(len(b)-4) < uint64(binary.BigEndian.Uint32(b)) {
+			return nil, errors.New("messages cut short")
+		}
+		n := int(binary.BigEndian.Uint32(b))
+		m := &pb.Message{}
+		if err := proto.Unmarshal(b[4:4+n], m); err != nil {
+			return nil, err
+		}
+		list, b = append(list, m), b[4+n:]
+	}
+	return list, nil
+}
+
+// carry sends what is queued to a member, as many messages a word as there are.
+func (m *Member) carry(ctx context.Context, p *peer) {
+	var conn *msgpackrpc.Conn
+	var downUntil time.Time
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	for {
+		var first *pb.Message
+		select {
+		case <-ctx.Done():
+			return
+		case first = <-p.queue:
+		}
+		list := []*pb.Message{first}
+		size := proto.Size(first)
+		for more := true; more && size < msgpackrpc.LongestWord/2; {
+			select {
+			case x := <-p.queue:
+				list, size = append(list, x), size+proto.Size(x)
+			default:
+				more = false
+			}
+		}
+		var body []byte
+		var err error
+		for _, x := range list {
+			if body, err = pack(body, x); err != nil {
+				break
+			}
+		}
+		if err == nil && len(body) > msgpackrpc.LongestWord-roomForRest {
+			err = errors.New("too long for a word")
+			m.log.Error().Str("event", "group.word_too_long").Str("member", p.Name).Int("bytes", len(body)).Send()
+		}
+		if conn != nil {
+			if _, usable := conn.Room(); !usable {
+				conn.Close()
+				conn = nil
+			}
+		}
+		if err == nil && conn == nil {
+			if time.Now().Before(downUntil) {
+				err = errors.New("down")
+			} else {
+				dial, cancel := context.WithTimeout(ctx, quorum.DialWithin)
+				conn, err = msgpackrpc.DialWords(dial, p.Addr)
+				cancel()
+				if err != nil {
+					downUntil = time.Now().Add(m.cfg.Tick)
+				}
+			}
+		}
+		var reply <-chan msgpackrpc.Reply
+		if err == nil {
+			reply, err = conn.Say(m.word("group.raft", body))
+		}
+		if err != nil {
+			if !errors.Is(err, msgpackrpc.ErrFull) && conn != nil {
+				conn.Close()
+				conn = nil
+			}
+			m.stats.Inc("group", "unsent")
+			m.later(func() { m.unreachable(p.ID, list) })
+			continue
+		}
+		m.stats.Add(uint64(len(list)), "group", "messages")
+		go func() {
+			var a msgpackrpc.Reply
+			ok := false
+			select {
+			case a, ok = <-reply:
+			case <-time.After(quorum.WordWithin):
+			case <-ctx.Done():
+				return
+			}
+			m.later(func() { m.sent(p, list, ok && a.Error == "", a) })
+		}()
+	}
+}
+
+// word is a word with who says it.
+func (m *Member) word(method string, body []byte) msgpackrpc.Word {
+	who := m.who.Load()
+	return msgpackrpc.Word{Method: method, Body: body, Fields: map[string]string{
+		"g": m.cfg.Group, "gi": who.Group, "id": strconv.FormatUint(who.ID, 10), "st": strconv.FormatUint(who.Starts, 10),
+		"n": strconv.FormatUint(m.salt, 10),
+	}}
+}
+
+// say says one word to an address on a connection of its own.
+func say(ctx context.Context, addr string, w msgpackrpc.Word) (msgpackrpc.Reply, error) {
+	dial, cancel := context.WithTimeout(ctx, quorum.DialWithin)
+	defer cancel()
+	conn, err := msgpackrpc.DialWords(dial, addr)
+	if err != nil {
+		return msgpackrpc.Reply{}, err
+	}
+	defer conn.Close()
+	reply, err := conn.Say(w)
+	if err != nil {
+		return msgpackrpc.Reply{}, err
+	}
+	select {
+	case a, ok := <-reply:
+		if !ok {
+			return a, errors.New("the connection ended without an answer")
+		}
+		return a, nil
+	case <-time.After(quorum.WordWithin):
+		return msgpackrpc.Reply{}, errors.New("no answer")
+	case <-ctx.Done():
+		return msgpackrpc.Reply{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/quorum/member/words.go
@@ -0,0 +1,374 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"silverpath/internal/duties"
+	"silverpath/internal/group"
+	"silverpath/internal/lease"
+	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/quorum"
+)
+
+// change is the context of a change of members.
+type change struct {
+	Seq    uint64     `json:"seq"`
+	Peer   group.Peer `json:"peer"`
+	Remove uint64     `json:"remove,omitempty"`
+}
+
+// Answer answers the words of a connection; it is the one that msgpackrpc.NewWords asks for.
+func (m *Member) Answer(ctx context.Context, w msgpackrpc.Word) func() msgpackrpc.Verdict {
+	if g := w.Fields["g"]; g != m.cfg.Group {
+		m.stats.Inc("group", "strangers")
+		return said(msgpackrpc.Verdict{Error: quorum.WordStranger, Fields: []string{"why", fmt.Sprintf("this is group %q, not %q", m.cfg.Group, g)}})
+	}
+	if w.Method == "group.status" {
+		b, _ := json.Marshal(m.Status())
+		return said(msgpackrpc.Verdict{Body: b})
+	}
+	// The rest is the loop's: in the order in which it came.
+	out := make(chan msgpackrpc.Verdict, 1)
+	m.later(func() { m.take(w, func(v msgpackrpc.Verdict) { out <- v }) })
+	return func() msgpackrpc.Verdict {
+		select {
+		case v := <-out:
+			return v
+		case <-m.ended:
+		case <-ctx.Done():
+		}
+		return msgpackrpc.Verdict{Error: quorum.WordLost}
+	}
+}
+
+func said(v msgpackrpc.Verdict) func() msgpackrpc.Verdict {
+	return func() msgpackrpc.Verdict { return v }
+}
+
+func no(kind, format string, args ...any) msgpackrpc.Verdict {
+	return msgpackrpc.Verdict{Error: kind, Fields: []string{"why", fmt.Sprintf(format, args...)}}
+}
+
+// take does what a word asks. Answer is called once, now or later.
+func (m *Member) take(w msgpackrpc.Word, answer func(msgpackrpc.Verdict)) {
+	switch w.Method {
+	case "group.raft", "group.vouch", "group.mark":
+		answer(m.fromMember(w))
+	case "group.found":
+		answer(m.founded(w))
+	case "group.join":
+		answer(m.joined(w))
+	case "group.do":
+		m.do(w, answer)
+	case "group.renew":
+		m.renew(w, answer)
+	case "group.read":
+		m.read(w, answer)
+	case "group.add", "group.remove":
+		m.change(w, answer)
+	default:
+		answer(no(quorum.WordNo, "no such word: %q", w.Method))
+	}
+}
+
+// fromMember takes what another member says of itself, and its messages.
+func (m *Member) fromMember(w msgpackrpc.Word) msgpackrpc.Verdict {
+	number := func(key string) uint64 { n, _ := strconv.ParseUint(w.Fields[key], 10, 64); return n }
+	id, who := number("id"), m.who.Load()
+	switch {
+	case who.Group == "" || w.Fields["gi"] != who.Group:
+		m.stats.Inc("group", "strangers")
+		return no(quorum.WordStranger, "this is group %q, not %q", who.Group, w.Fields["gi"])
+	case id == who.ID:
+		return no(quorum.WordSuperseded, "two processes run on copies of one disk")
+	}
+	last, says := m.marks[id], mark{number("st"), number("n"), number("t"), number("c")}
+	if says.Starts < last.Starts || says.Starts == last.Starts && says.Nonce != last.Nonce {
+		return no(quorum.WordSuperseded, "start %d of this disk, and start %d of it was seen elsewhere", says.Starts, last.Starts)
+	}
+	switch w.Method {
+	case "group.vouch":
+		if why := last.over(says); why != "" {
+			m.log.Warn().Str("event", "group.disk_older").Str("member", m.state.Members[id].Name).Str("why", why).Send()
+			return no(quorum.WordSuperseded, "the disk is older than its words: %s", why)
+		}
+		m.marks[id] = says
+		// It lasts before the other may vote: else a restart of this one would let an older disk in.
+		if err := m.disk.save(nil, nil, nil, m.marks); err != nil {
+			m.die(err)
+			return no(quorum.WordLost, "%v", err)
+		}
+	case "group.mark":
+		if says.Term >= last.Term && says.Commit >= last.Commit && says != last {
+			m.marks[id], m.marksNew = says, true // with the next write
+		}
+	case "group.raft":
+		if !m.confirmed {
+			return msgpackrpc.Verdict{} // not yet one that may say anything
+		}
+		list, err := unpack(w.Body)
+		if err != nil {
+			m.stats.Inc("malformed", Name)
+			return no(quorum.WordNo, "%v", err)
+		}
+		for _, x := range list {
+			m.step(x, id)
+		}
+	}
+	return msgpackrpc.Verdict{}
+}
+
+// step hands a message to the library, unless it shows that this disk has lost what it had said.
+func (m *Member) step(x *pb.Message, from uint64) {
+	if x.GetFrom() != from || x.GetTo() != m.who.Load().ID || raft.IsLocalMsg(x.GetType()) {
+		m.stats.Inc("malformed", Name)
+		return
+	}
+	if last, _ := m.disk.mem.LastIndex(); x.GetType() == pb.MsgHeartbeat && x.GetCommit() > last {
+		m.die(fmt.Errorf("the disk is older than its words: entry %d was said to be on it, it ends at %d; set %s aside and add the member anew",
+			x.GetCommit(), last, m.cfg.Dir))
+		return
+	}
+	m.raw.Step(x) // its errors are of messages that came late
+}
+
+// founded makes this member one of the first of a group.
+func (m *Member) founded(w msgpackrpc.Word) msgpackrpc.Verdict {
+	var f quorum.Founding
+	if err := json.Unmarshal(w.Body, &f); err != nil {
+		return no(quorum.WordNo, "%v", err)
+	}
+	who := *m.who.Load()
+	switch {
+	case who.Group == f.ID():
+		return msgpackrpc.Verdict{}
+	case who.Group != "":
+		return no(quorum.WordNo, "member %s belongs to group %s already", who.Name, who.Group)
+	case f.Group != m.cfg.Group || !slices.ContainsFunc(f.Members, func(p group.Peer) bool { return p.ID == who.ID }):
+		return no(quorum.WordNo, "not among the first members")
+	}
+	if err := f.Terms.Check(); err != nil {
+		return no(quorum.WordNo, "%v", err)
+	}
+	state := group.New(1)
+	state.Terms = f.Terms
+	for _, p := range f.Members {
+		state.Members[p.ID] = p
+	}
+	who.Group = f.ID()
+	if err := m.disk.found(who, state); err != nil {
+		m.die(err)
+		return no(quorum.WordLost, "%v", err)
+	}
+	m.who.Store(&who)
+	m.log.Info().Str("event", "group.founded").Str("group", who.Group).Int("members", len(f.Members)).Send()
+	m.begin()
+	return msgpackrpc.Verdict{}
+}
+
+// joined makes this member, whose disk is empty, one that listens to a group until it was added there.
+func (m *Member) joined(w msgpackrpc.Word) msgpackrpc.Verdict {
+	var j quorum.Joining
+	if err := json.Unmarshal(w.Body, &j); err != nil || j.ID == "" {
+		return no(quorum.WordNo, "no group")
+	}
+	who := *m.who.Load()
+	switch {
+	case who.Group == j.ID:
+		return msgpackrpc.Verdict{}
+	case who.Group != "":
+		return no(quorum.WordNo, "member %s belongs to group %s already", who.Name, who.Group)
+	}
+	who.Group = j.ID
+	if err := m.disk.join(who, j.Members); err != nil {
+		m.die(err)
+		return no(quorum.WordLost, "%v", err)
+	}
+	m.who.Store(&who)
+	m.log.Info().Str("event", "group.joined").Str("group", who.Group).Send()
+	m.begin()
+	return msgpackrpc.Verdict{}
+}
+
+// begin has a member take part that has just become one.
+func (m *Member) begin() {
+	if err := m.rise(); err != nil {
+		m.die(err)
+		return
+	}
+	m.meet()
+	m.vouch()
+}
+
+// lead answers for one that does not lead.
+func (m *Member) elsewhere() msgpackrpc.Verdict {
+	v := no(quorum.WordNotLeader, "member %s does not lead", m.cfg.Name)
+	if m.raw != nil {
+		if p, ok := m.state.Members[m.raw.BasicStatus().Lead]; ok && p.ID != m.who.Load().ID {
+			v.Fields = append(v.Fields, "leader", p.Addr)
+		}
+	}
+	return v
+}
+
+func result(r group.Result, ok bool) msgpackrpc.Verdict {
+	if !ok {
+		return msgpackrpc.Verdict{Error: quorum.WordLost}
+	}
+	b, err := json.Marshal(r)
+	if err != nil {
+		return no(quorum.WordNo, "%v", err)
+	}
+	return msgpackrpc.Verdict{Body: b}
+}
+
+// do puts a command into the log.
+func (m *Member) do(w msgpackrpc.Word, answer func(msgpackrpc.Verdict)) {
+	var c group.Command
+	if err := json.Unmarshal(w.Body, &c); err != nil {
+		answer(no(quorum.WordNo, "%v", err))
+		return
+	}
+	if c.Ask != nil && (c.Ask.Op == lease.Expire || c.Ask.Op == lease.Forget && c.Ask.Why == "") {
+		answer(no(quorum.WordNo, "only the group's leader may"))
+		return
+	}
+	if c.Ask != nil && c.Ask.Op == lease.Acquire && m.leads {
+		// Who has it, or waits already, changes nothing: no word in the log.
+		if d := m.state.Table.Duties[c.Ask.Duty]; d != nil && (d.Holder == c.Ask.Who || slices.Contains(d.Queue, c.Ask.Who)) {
+			m.renew(w, answer)
+			return
+		}
+		m.watch.Waits(c.Ask.Duty, c.Ask.Who, m.clock())
+	}
+	if err := m.propose(c, func(r group.Result, ok bool) { answer(result(r, ok)) }); err == errNotLeader {
+		answer(m.elsewhere())
+	} else if err != nil {
+		answer(no(quorum.WordLost, "%v", err))
+	}
+}
+
+// renew notes that an owner goes on, or that one waits, by the leader's word alone: it answers once a majority has said
+// that it led after the word came.
+func (m *Member) renew(w msgpackrpc.Word, answer func(msgpackrpc.Verdict)) {
+	var c group.Command
+	if err := json.Unmarshal(w.Body, &c); err != nil || c.Ask == nil {
+		answer(no(quorum.WordNo, "no renewal"))
+		return
+	}
+	a, now := *c.Ask, m.clock()
+	d := m.state.Table.Duties[a.Duty]
+	if !m.leads || !m.caughtUp {
+		answer(m.elsewhere())
+		return
+	}
+	ending := false
+	if d != nil && d.Holder == a.Who {
+		ending = !m.watch.Renewed(a.Duty, d.Epoch, now)
+	}
+	m.watch.Waits(a.Duty, a.Who, now)
+	m.stats.Inc("group", "renewals")
+	err := m.confirmLead(func(ok bool) {
+		r := group.Result{}
+		if d := m.state.Table.Duties[a.Duty]; d != nil {
+			copied := *d
+			r.Duty = &copied
+			if ending || a.Op == lease.Renew && (d.Holder != a.Who || d.Epoch != a.Epoch) {
+				r.Error, r.Kind = d.Stale(a.Epoch).Error(), group.Stale
+			}
+		} else {
+			r.Error = lease.ErrNobody.Error()
+		}
+		answer(result(r, ok))
+	})
+	if err != nil {
+		answer(m.elsewhere())
+	}
+}
+
+// read answers with what all have agreed on by now.
+func (m *Member) read(w msgpackrpc.Word, answer func(msgpackrpc.Verdict)) {
+	if !m.leads {
+		answer(m.elsewhere())
+		return
+	}
+	err := m.confirmLead(func(ok bool) {
+		if !ok {
+			answer(msgpackrpc.Verdict{Error: quorum.WordLost})
+			return
+		}
+		v := quorum.View{Terms: m.state.Terms, Table: m.state.Table, Journals: map[string]*duties.Journal{}}
+		for _, name := range duties.Names {
+			if w.Fields["duty"] == name || w.Fields["duty"] == "*" {
+				v.Journals[name] = m.state.Journal(name)
+			}
+		}
+		b, err := json.Marshal(v)
+		if err != nil {
+			answer(no(quorum.WordNo, "%v", err))
+			return
+		}
+		answer(msgpackrpc.Verdict{Body: b})
+	})
+	if err != nil {
+		answer(m.elsewhere())
+	}
+}
+
+// change adds a member, first as one that only listens and then, asked again once it has caught up, with a vote, or removes
+// one: one at a time.
+func (m *Member) change(w msgpackrpc.Word, answer func(msgpackrpc.Verdict)) {
+	var p group.Peer
+	if err := json.Unmarshal(w.Body, &p); err != nil || p.ID == 0 {
+		answer(no(quorum.WordNo, "no member"))
+		return
+	}
+	if !m.leads {
+		answer(m.elsewhere())
+		return
+	}
+	kind, of := pb.ConfChangeAddLearnerNode, change{Peer: p}
+	switch pr, known := m.raw.Status().Progress[p.ID]; {
+	case w.Method == "group.remove":
+		kind, of = pb.ConfChangeRemoveNode, change{Remove: p.ID}
+	case slices.Contains(m.conf.GetVoters(), p.ID):
+		answer(msgpackrpc.Verdict{Body: []byte(`"voter"`)})
+		return
+	case known && pr.IsLearner:
+		if last, _ := m.disk.mem.LastIndex(); pr.Match+compactKeep < last || pr.Match == 0 {
+			answer(msgpackrpc.Verdict{Body: []byte(`"catching up"`)})
+			return
+		}
+		kind = pb.ConfChangeAddNode
+	default:
+		for _, q := range m.state.Members {
+			if q.Name == p.Name {
+				answer(no(quorum.WordNo, "member %s is in the group by another disk: remove that first", p.Name))
+				return
+			}
+		}
+	}
+	m.seq++
+	of.Seq = m.salt + m.seq
+	ctx, _ := json.Marshal(of)
+	cc := &pb.ConfChangeV2{Context: ctx, Changes: []*pb.ConfChangeSingle{{Type: kind.Enum(), NodeId: proto.Uint64(p.ID)}}}
+	if err := m.raw.ProposeConfChange(cc); err != nil {
+		answer(no(quorum.WordLost, "%v", err))
+		return
+	}
+	m.waiting[of.Seq] = func(_ group.Result, ok bool) {
+		if !ok {
+			answer(msgpackrpc.Verdict{Error: quorum.WordLost})
+			return
+		}
+		answer(msgpackrpc.Verdict{Body: []byte(`"changed"`)})
+	}
+}
--- /dev/null
+++ b/internal/quorum/quorum.go
@@ -0,0 +1,79 @@
+// Package quorum is how processes ask the group that agrees on the fleet's work, and what is said on the way. A member of
+// the group is in the package member: who only asks links none of it.
+package quorum
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"silverpath/internal/duties"
+	"silverpath/internal/group"
+	"silverpath/internal/lease"
+)
+
+// WordWithin is how long an answer to a word is waited for.
+const WordWithin = 2 * time.Second
+
+// DialWithin is how long a connection may take to open.
+const DialWithin = 500 * time.Millisecond
+
+// The errors of words.
+const (
+	WordStranger   = "Stranger"   // of another group
+	WordSuperseded = "Superseded" // by a disk that knows more, or a later start
+	WordNotLeader  = "NotLeader"  // with the address of the one that leads, where that is known
+	WordLost       = "Lost"       // nobody can say what became of it: ask again
+	WordNo         = "No"
+)
+
+// Founding is what the first members of a group are told.
+type Founding struct {
+	Group   string       `json:"group"`
+	Members []group.Peer `json:"members"`
+	Terms   lease.Terms  `json:"terms"`
+}
+
+// Joining is what a new member is told: the group that it is to be one of, and who to listen to.
+type Joining struct {
+	ID      string       `json:"id"`
+	Members []group.Peer `json:"members"`
+}
+
+// ID is the number of the group that it founds: the same first members make the same group.
+func (f Founding) ID() string {
+	slices.SortFunc(f.Members, func(a, b group.Peer) int { return strings.Compare(a.Name, b.Name) })
+	b, _ := json.Marshal(f)
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:8])
+}
+
+// View is what can be read of the group: the table, the journals that were asked for, and who asked may know.
+type View struct {
+	Terms    lease.Terms                `json:"terms"`
+	Table    *lease.Table               `json:"table"`
+	Journals map[string]*duties.Journal `json:"journals,omitempty"`
+}
+
+// Status is what a member is.
+type Status struct {
+	Name      string       `json:"name"`
+	ID        string       `json:"id"`
+	Group     string       `json:"group"`
+	GroupID   string       `json:"group_id"` // empty: it belongs to none
+	State     string       `json:"state"`    // unfounded, unconfirmed, follower, candidate, leader
+	Leader    string       `json:"leader"`   // the address of the one that leads, empty for none
+	Term      uint64       `json:"term"`
+	Applied   uint64       `json:"applied"`
+	Commit    uint64       `json:"commit"`
+	Starts    uint64       `json:"starts"`
+	Syncs     uint64       `json:"syncs"`
+	Voter     bool         `json:"voter"`
+	Members   []group.Peer `json:"members"`
+	TermsTTL  int64        `json:"lease_ms"`
+	Drift     float64      `json:"drift"`
+	Confirmed bool         `json:"confirmed"`
+}
--- a/internal/service/server.go
+++ b/internal/service/server.go
@@ -1,10 +1,14 @@
 package service
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"silverpath/internal/core"
 	"silverpath/internal/interp"
+	"silverpath/internal/orders"
+	"silverpath/internal/quorum"
 	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
 	"silverpath/internal/standin"
@@ -21,6 +25,9 @@
 		s.cfg.VM = s.worker.Addr()
 		s.log.Printf("worker: no configuration: the built-in worker at %s does the work, which is to send back what came", s.cfg.VM)
 	}
+	if err := s.takeOrders(); err != nil {
+		return err
+	}
 	cfg := s.cfg
 	if cfg.SCGI.Upstream != "" {
 		up := scgi.NewUpstream(cfg.SCGI.Upstream, cfg.Server.Cores, b.Upstream, cfg.SCGI.Timeout, s.core, s.log, s.stats)
@@ -37,6 +44,22 @@
 	return s.core.Attach(s.link, below)
 }
 
+// takeOrders has the server take orders of the fleet by its management front, where an edge file says so.
+func (s *Service) takeOrders() (err error) {
+	set := s.cfg.Edge.Orders
+	if set == nil {
+		return nil
+	}
+	if s.cfg.Mgmt == "" {
+		return errors.New("orders: there is no mgmt to take them at")
+	}
+	group := &quorum.Client{Group: set.Group.Name, Addrs: set.Group.Members}
+	if s.orders, err = orders.Open(set.State, s.cfg.Name, group, s.log); err != nil {
+		return fmt.Errorf("orders.state: %w", err)
+	}
+	return nil
+}
+
 // worker starts the built-in worker: an interpreter whose work takes as long as the operators' own typically does.
 func worker(cfg settings.Config) (*standin.Interpreter, error) {
 	n := cfg.Server.Cores
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -18,6 +18,7 @@
 	"silverpath/internal/interp"
 	"silverpath/internal/mgmt"
 	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/orders"
 	"silverpath/internal/pair"
 	"silverpath/internal/pools"
 	"silverpath/internal/scgi"
@@ -59,6 +60,7 @@
 	link      *interp.Link         // nil where an application server does the work
 	below     *vault.Client        // likewise
 	fleet     *fleet.Runner        // nil but in a router
+	orders    *orders.Orders       // nil: it takes no orders of the fleet
 	pair      *pair.Pair           // nil: no process takes over from this one
 	shares    []share              // of the descriptors, by listener
 	worker    *standin.Interpreter // nil but in a start without a configuration
@@ -167,6 +169,9 @@
 	if err != nil {
 		return fmt.Errorf("mgmt: %w", err)
 	}
+	if s.orders != nil {
+		s.mgmt.Orders(s.orders)
+	}
 	return nil
 }
 
--- a/internal/settings/cells.go
+++ b/internal/settings/cells.go
@@ -22,10 +22,10 @@
 		return nil, errors.New("not a JSON object")
 	}
 	f := fields{"", v, &err}
-	f.only("version", "window_ms", "skew_ms", "lease_ms", "patience_ms", "cells", "servers", "tenants")
+	f.only("version", "epoch", "window_ms", "skew_ms", "lease_ms", "patience_ms", "cells", "servers", "tenants")
 	ms := func(key string) time.Duration { return time.Duration(f.integer(key)) * time.Millisecond }
 	m := &cells.Map{
-		Version: int(f.integer("version")), Window: ms("window_ms"), Skew: ms("skew_ms"), Lease: ms("lease_ms"),
+		Version: int(f.integer("version")), Epoch: uint64(f.integer("epoch")), Window: ms("window_ms"), Skew: ms("skew_ms"), Lease: ms("lease_ms"),
 		Patient: ms("patience_ms"),
 	}
 	f.each("cells", func(_ int, c fields) {
@@ -33,13 +33,13 @@
 		m.Cells = append(m.Cells, cells.Cell{Name: c.text("name"), Capacity: c.number("capacity")})
 	})
 	f.each("servers", func(_ int, s fields) {
-		s.only("name", "addr", "cell", "weight", "from_ms", "until_ms")
+		s.only("name", "addr", "mgmt", "cell", "weight", "from_ms", "until_ms")
 		weight := 1.0
 		if s.v.Exists("weight") {
 			weight = s.number("weight")
 		}
 		m.Servers = append(m.Servers, cells.Server{
-			Name: s.text("name"), Addr: s.text("addr"), Cell: s.text("cell"), Weight: weight,
+			Name: s.text("name"), Addr: s.text("addr"), Mgmt: s.text("mgmt"), Cell: s.text("cell"), Weight: weight,
 			From: s.integer("from_ms"), Until: s.integer("until_ms"),
 		})
 	})
@@ -66,6 +66,9 @@
 	num := func(o *fastjson.Value, key string, v float64) { o.Set(key, a.NewNumberFloat64(v)) }
 	o := a.NewObject()
 	o.Set("version", a.NewNumberInt(m.Version))
+	if m.Epoch > 0 {
+		o.Set("epoch", a.NewNumberString(fmt.Sprint(m.Epoch)))
+	}
 	for _, t := range []struct {
 		key string
 		d   time.Duration
@@ -85,6 +88,9 @@
 		e := a.NewObject()
 		e.Set("name", a.NewString(s.Name))
 		e.Set("addr", a.NewString(s.Addr))
+		if s.Mgmt != "" {
+			e.Set("mgmt", a.NewString(s.Mgmt))
+		}
 		e.Set("cell", a.NewString(s.Cell))
 		num(e, "weight", s.Weight)
 		e.Set("from_ms", a.NewNumberString(fmt.Sprint(s.From)))
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -22,6 +22,13 @@
 	Pools   pools.Config
 	Reserve *pools.ReserveConfig // nil: none
 	Fleet   *Fleet               // nil: it is no router
+	Orders  *Orders              // nil: it takes no orders of the fleet
+}
+
+// Orders sets up a server that takes orders of the fleet: see docs/duties.md.
+type Orders struct {
+	State string // the file that keeps the latest over a restart
+	Group GroupRef
 }
 
 // Fleet sets up a router: see docs/cells.md.
@@ -59,7 +66,7 @@
 		return Edge{}, errors.New("not a JSON object")
 	}
 	f := fields{"", v, &err}
-	f.only("status", "cell", "pools", "limit", "memory", "reserve", "fleet")
+	f.only("status", "cell", "pools", "limit", "memory", "reserve", "fleet", "orders")
 	e := Edge{On: true, Status: true}
 	if v.Exists("status") {
 		e.Status = f.flag("status")
@@ -97,6 +104,13 @@
 		}
 	}
 	e.Fleet = readFleet(f.object("fleet"))
+	if o := f.object("orders"); o.v != nil {
+		o.only("state", "group", "members")
+		e.Orders = &Orders{State: o.text("state"), Group: o.group()}
+		if e.Orders.State == "" {
+			o.fail("state", "missing")
+		}
+	}
 	switch {
 	case err != nil:
 		return e, err
