--- a/cmd/silverpath/fleet_test.go
+++ b/cmd/silverpath/fleet_test.go
@@ -1,16 +1,13 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -19,56 +16,57 @@
 	"silverpath/internal/ask"
 	"silverpath/internal/cells"
 	"silverpath/internal/fleet"
+	"silverpath/internal/harness"
 	"silverpath/internal/standin"
 )
 
 // process is a service or a router of the test's own.
 type process struct {
-	cmd  *exec.Cmd
+	*harness.Process
 	addr string
 }
 
-// spawn starts the program and waits until it serves.
-func spawn(t *testing.T, args ...string) *process {
+// program is this test's own program, which runs main, in an environment with more.
+func program(t testing.TB, args []string, env ...string) *exec.Cmd {
 	t.Helper()
 	exe, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{cmd: exec.Command(exe, args...)}
-	p.cmd.Env = append(os.Environ(), "SILVERPATH_RUN=1", "LB_CONFIG=")
-	log, err := p.cmd.StderrPipe()
+	cmd := exec.Command(exe, args...)
+	cmd.Env = append(append(os.Environ(), "SILVERPATH_RUN=1", "LB_CONFIG="), env...)
+	return cmd
+}
+
+// begin starts the program.
+func begin(t testing.TB, args []string, env ...string) *harness.Process {
+	t.Helper()
+	p, err := harness.Start(program(t, args, env...))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(p.kill)
-	lines, all := bufio.NewScanner(log), ""
-	for lines.Scan() {
-		all += lines.Text() + "\n"
-		if _, addr, ok := strings.Cut(lines.Text(), "msgpack: listening on "); ok {
-			p.addr = addr
-		}
-		if strings.Contains(lines.Text(), "phase serving") {
-			go io.Copy(io.Discard, log)
-			return p
-		}
-	}
-	t.Fatalf("%v does not serve:\n%s", args, all)
-	return nil
+	t.Cleanup(p.Kill)
+	return p
 }
 
-func (p *process) kill() {
-	p.cmd.Process.Signal(syscall.SIGKILL)
-	p.cmd.Wait()
+// spawn starts the program and waits until it serves.
+func spawn(t testing.TB, args ...string) *process {
+	t.Helper()
+	p := &process{Process: begin(t, args)}
+	if _, err := p.Await(30*time.Second, 0, "phase serving"); err != nil {
+		t.Fatalf("%v: %v", args, err)
+	}
+	var err error
+	if p.addr, err = p.Says(0, "msgpack: listening on "); err != nil {
+		t.Fatal(err)
+	}
+	return p
 }
 
 const sheetWindow = 2 * time.Second
 
 // site is a configuration whose sheets may come again for two seconds.
-func siteFile(t *testing.T, name, vm string) string {
+func siteFile(t testing.TB, name, vm string) string {
 	t.Helper()
 	text := fmt.Sprintf(`{"name":%q,"listen":"127.0.0.1:0","vm":%q,"stop_ms":1000,"limits":{"memory_mb":64,"sockets":256},
  "settings":{"classes":[{"name":"oddaja","target":900000,"deadline":1000000,"worth":3,"effect":"token","memory_span":%d}],
@@ -82,7 +80,7 @@
 	return path
 }
 
-func write(t *testing.T, name, text string) string {
+func write(t testing.TB, name, text string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), name)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -234,11 +232,11 @@
 	time.Sleep(700 * time.Millisecond)
 	command("move", "--tenant", "brand", "--to", "b")
 	time.Sleep(2300 * time.Millisecond) // in force
-	servers["s1"].kill()
+	servers["s1"].Kill()
 	mu.Lock()
 	old := routers[1]
 	mu.Unlock()
-	old.kill()
+	old.Kill()
 	again := router(states[1])
 	mu.Lock()
 	routers[1] = again
--- a/cmd/silverpath/main_test.go
+++ b/cmd/silverpath/main_test.go
@@ -22,7 +22,7 @@
 	os.Exit(m.Run())
 }
 
-func run(t *testing.T, env string, args ...string) (code int, out, message string) {
+func run(t testing.TB, env string, args ...string) (code int, out, message string) {
 	t.Helper()
 	exe, err := os.Executable()
 	if err != nil {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -4,8 +4,6 @@
 package lab
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -22,6 +20,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"silverpath/internal/ask"
+	"silverpath/internal/harness"
 	"silverpath/internal/standin"
 )
 
@@ -67,14 +66,9 @@
 
 // Process is a running service.
 type Process struct {
-	cmd                  *exec.Cmd
+	*harness.Process
 	Platform, SCGI, Mgmt string
 	edge                 string // its edge file, empty for none
-	mu                   sync.Mutex
-	log                  bytes.Buffer
-	read                 chan struct{} // closed at the log's end
-	up                   chan bool     // whether it came to serve
-	callable             chan struct{} // closed when Mgmt is there
 }
 
 // Start starts the service at a site, with an edge file of the given text where that is not empty.
@@ -106,58 +100,35 @@
 		return nil, err
 	}
 	p.edge = edgeFile
-	if !<-p.up {
-		p.cmd.Wait()
-		return nil, fmt.Errorf("the service did not come up:\n%s", p.Log())
+	if _, err := p.Await(comeUp, 0, "phase serving"); err != nil {
+		p.Kill()
+		return nil, fmt.Errorf("the service did not come up: %w", err)
 	}
+	p.found()
 	return p, nil
 }
 
+// comeUp is how long a service may take to serve.
+const comeUp = 30 * time.Second
+
 // launch starts a process and follows its log.
 func launch(cmd *exec.Cmd) (*Process, error) {
-	p := &Process{cmd: cmd, read: make(chan struct{}), up: make(chan bool, 1), callable: make(chan struct{})}
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it does not outlive the lab
-	errs, err := p.cmd.StderrPipe()
+	h, err := harness.Start(cmd)
 	if err != nil {
 		return nil, err
 	}
-	if err := p.cmd.Start(); err != nil {
-		return nil, fmt.Errorf("starting the service: %w", err)
-	}
-	go p.follow(errs)
-	return p, nil
+	return &Process{Process: h}, nil
 }
 
-// follow reads the log to its end and tells when the service can be called and when it serves.
-func (p *Process) follow(r io.Reader) {
-	defer close(p.read)
-	lines := bufio.NewScanner(r)
-	for lines.Scan() {
-		line := lines.Text()
-		p.mu.Lock()
-		fmt.Fprintln(&p.log, line)
-		p.mu.Unlock()
-		if _, addr, ok := strings.Cut(line, "msgpack: listening on "); ok {
-			p.Platform = addr
-		}
-		if _, addr, ok := strings.Cut(line, "scgi: listening on "); ok {
-			p.SCGI = addr
-		}
-		if _, addr, ok := strings.Cut(line, "mgmt: listening on "); ok {
-			p.Mgmt = addr
-			close(p.callable)
-		}
-		if strings.Contains(line, "phase serving") {
-			select {
-			case p.up <- true:
-			default: // once more, after an evacuation
+// found takes the addresses that the log has by now.
+func (p *Process) found() {
+	for _, line := range strings.Split(p.Log(), "\n") {
+		for name, at := range map[string]*string{"msgpack": &p.Platform, "scgi": &p.SCGI, "mgmt": &p.Mgmt} {
+			if _, addr, ok := strings.Cut(line, name+": listening on "); ok {
+				*at = addr
 			}
 		}
 	}
-	select {
-	case p.up <- false:
-	default:
-	}
 }
 
 // Reload replaces the edge file and has it read.
@@ -165,42 +136,14 @@
 	if err := os.WriteFile(p.edge, []byte(edge), 0o600); err != nil {
 		return err
 	}
-	return p.cmd.Process.Signal(syscall.SIGHUP)
-}
-
-// Kill ends the process at once.
-func (p *Process) Kill() {
-	p.cmd.Process.Kill()
-	<-p.read
-	p.cmd.Wait()
-}
-
-// CPU is the time that the process has had on the processors, by /proc in hundredths of a second.
-func (p *Process) CPU() time.Duration {
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	f := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
-	user, _ := strconv.Atoi(f[11])
-	system, _ := strconv.Atoi(f[12])
-	return time.Duration(user+system) * 10 * time.Millisecond
-}
-
-// Log is what the service has logged.
-func (p *Process) Log() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.log.String()
+	return p.Signal(syscall.SIGHUP)
 }
 
 var counter = regexp.MustCompile(`(?m)^counter (\S+) (\d+)$`)
 
 // Stop has the service drain and returns its counters; an error where it did not leave cleanly.
 func (p *Process) Stop() (map[string]int, error) {
-	p.cmd.Process.Signal(syscall.SIGTERM)
-	<-p.read
-	err := p.cmd.Wait()
+	err := p.Process.Leave()
 	all := map[string]int{}
 	for _, m := range counter.FindAllStringSubmatch(p.Log(), -1) {
 		all[m[1]], _ = strconv.Atoi(m[2])
--- a/internal/lab/shared.go
+++ b/internal/lab/shared.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -105,11 +104,10 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(p.Kill)
-	select {
-	case <-p.callable:
-	case <-p.read:
-		s.t.Fatalf("no process:\n%s", p.Log())
+	if _, err := p.Await(comeUp, 0, "mgmt: listening on "); err != nil {
+		s.t.Fatalf("no process: %v", err)
 	}
+	p.found()
 	return &Generation{p, file}
 }
 
@@ -146,9 +144,6 @@
 	}
 }
 
-// Signal sends a signal.
-func (p *Process) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
-
 // Leave tells the process to leave and waits until it has, in good order.
 func (p *Process) Leave(t testing.TB) {
 	if _, err := p.Stop(); err != nil {
@@ -158,7 +153,7 @@
 
 // Usage is what the process has open, and its memory in bytes.
 func (p *Process) Usage() (descriptors, memory int) {
-	pid := p.cmd.Process.Pid
+	pid := p.Pid()
 	open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
 	statm, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	var whole, resident, shared int
