--- a/cmd/silverpath/duty.go
+++ b/cmd/silverpath/duty.go
@@ -245,7 +245,7 @@
 				}
 				fmt.Fprintln(c.OutOrStdout(), rollLine(*it))
 				var p duties.Progress
-				if it.Plan != nil && json.Unmarshal(it.Plan, &p) == nil {
+				if it.Plan != "" && json.Unmarshal([]byte(it.Plan), &p) == nil {
 					w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 					fmt.Fprintln(w, "SERVER\tCELL\tSTAGE")
 					for _, m := range p.Members {
@@ -280,7 +280,7 @@
 func rollLine(it duties.Item) string {
 	var p duties.Progress
 	s := fmt.Sprintf("%s: %s, epoch %v, step %d", it.ID, it.State, it.Epoch, it.Step)
-	if it.Plan != nil && json.Unmarshal(it.Plan, &p) == nil {
+	if it.Plan != "" && json.Unmarshal([]byte(it.Plan), &p) == nil {
 		back := 0
 		for _, m := range p.Members {
 			if m.Stage == duties.IsBack {
--- a/cmd/silverpath/main_test.go
+++ b/cmd/silverpath/main_test.go
@@ -16,6 +16,7 @@
 // The test program runs main itself when told to.
 func TestMain(m *testing.M) {
 	if os.Getenv("SILVERPATH_RUN") != "" {
+		memberProgram()
 		main()
 		os.Exit(0)
 	}
--- a/internal/duties/conductor.go
+++ b/internal/duties/conductor.go
@@ -151,7 +151,7 @@
 		return c.down(it, p, "")
 	}
 	var p Progress
-	if err := json.Unmarshal(it.Plan, &p); err != nil {
+	if err := json.Unmarshal([]byte(it.Plan), &p); err != nil {
 		return fail("its progress can't be read: " + err.Error())
 	}
 	c.meet(it.ID, epoch, p, now)
@@ -306,5 +306,5 @@
 	if err != nil {
 		note = err.Error()
 	}
-	return Act{Kind: WriteDown, Write: Write{Item: it.ID, State: Intent, Plan: raw, Note: note}}
+	return Act{Kind: WriteDown, Write: Write{Item: it.ID, State: Intent, Plan: string(raw), Note: note}}
 }
--- a/internal/duties/journal.go
+++ b/internal/duties/journal.go
@@ -5,7 +5,6 @@
 package duties
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -46,32 +45,32 @@
 	Epoch lease.Epoch     `json:"epoch,omitempty"` // and step: of what was last written of it
 	Step  uint64          `json:"step,omitempty"`
 	Tries int             `json:"tries,omitempty"`
-	Plan  json.RawMessage `json:"plan,omitempty"` // what is to be done, or how far it is
+	Plan  string          `json:"plan,omitempty"` // what is to be done, or how far it is: to the byte, so no JSON in JSON
 	Note  string          `json:"note,omitempty"`
 	Wish  string          `json:"wish,omitempty"` // of an operator, while it is under way: pause or abort
 }
 
 // Journal is the work of one duty. It changes only by Submit, Wish and Write, in the order of the group's log.
 type Journal struct {
-	Duty  string          `json:"duty"`
-	Step  uint64          `json:"step"` // of the last write
-	Last  *Write          `json:"last,omitempty"`
-	Items []Item          `json:"items"`
-	Doc   json.RawMessage `json:"doc,omitempty"` // what the duty keeps: the map in force
+	Duty  string `json:"duty"`
+	Step  uint64 `json:"step"` // of the last write
+	Last  *Write `json:"last,omitempty"`
+	Items []Item `json:"items"`
+	Doc   string `json:"doc,omitempty"` // what the duty keeps: the map in force
 }
 
 // Write is what an owner writes of an item: an intent, how far it is, or its outcome.
 type Write struct {
-	Duty  string          `json:"duty"`
-	Who   string          `json:"who"`
-	Epoch lease.Epoch     `json:"epoch"`
-	Step  uint64          `json:"step"`
-	Item  string          `json:"item,omitempty"` // empty: only Doc is written
-	State State           `json:"state,omitempty"`
-	Tries int             `json:"tries,omitempty"`
-	Plan  json.RawMessage `json:"plan,omitempty"` // nil: as it was
-	Note  string          `json:"note,omitempty"`
-	Doc   json.RawMessage `json:"doc,omitempty"` // nil: as it was
+	Duty  string      `json:"duty"`
+	Who   string      `json:"who"`
+	Epoch lease.Epoch `json:"epoch"`
+	Step  uint64      `json:"step"`
+	Item  string      `json:"item,omitempty"` // empty: only Doc is written
+	State State       `json:"state,omitempty"`
+	Tries int         `json:"tries,omitempty"`
+	Plan  string      `json:"plan,omitempty"` // empty: as it was
+	Note  string      `json:"note,omitempty"`
+	Doc   string      `json:"doc,omitempty"` // empty: as it was
 }
 
 const (
@@ -174,22 +173,22 @@
 			return ErrPaused
 		}
 		it.State, it.Epoch, it.Step, it.Tries, it.Note = w.State, w.Epoch, w.Step, w.Tries, w.Note
-		if w.Plan != nil {
+		if w.Plan != "" {
 			it.Plan = w.Plan
 		}
 	}
-	if w.Doc != nil {
+	if w.Doc != "" {
 		j.Doc = w.Doc
 	}
 	j.Step = w.Step
-	w.Doc = nil // the journal has it once
+	w.Doc = "" // the journal has it once
 	j.Last = &w
 	j.forget()
 	return nil
 }
 
 func (w *Write) same(o Write) bool {
-	return w.Who == o.Who && w.Epoch == o.Epoch && w.Item == o.Item && w.State == o.State && bytes.Equal(w.Plan, o.Plan)
+	return w.Who == o.Who && w.Epoch == o.Epoch && w.Item == o.Item && w.State == o.State && w.Plan == o.Plan
 }
 
 // forget lets go of the oldest items that are over, and of the plans of all that are but the latest.
@@ -197,7 +196,7 @@
 	over := 0
 	for i := range j.Items {
 		if it := &j.Items[i]; it.State.Over() && it.Step != j.Step {
-			it.Plan = nil
+			it.Plan = ""
 		}
 	}
 	for _, it := range j.Items {
--- a/internal/duties/keeper.go
+++ b/internal/duties/keeper.go
@@ -1,7 +1,6 @@
 package duties
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -83,9 +82,9 @@
 	if it != nil && it.State == Intent {
 		return k.settle(j, it, h, now)
 	}
-	if !bytes.Equal(h.Raw, j.Doc) {
+	if string(h.Raw) != j.Doc {
 		// The first map, one put there by hand, or one known before the group lost its own.
-		return Act{Kind: WriteDown, Write: Write{Doc: h.Raw}}
+		return Act{Kind: WriteDown, Write: Write{Doc: string(h.Raw)}}
 	}
 	if it == nil {
 		return Act{}
@@ -101,16 +100,16 @@
 	if err != nil {
 		return Act{Kind: WriteDown, Write: Write{Item: it.ID, State: Failed, Tries: it.Tries, Note: err.Error()}}
 	}
-	return Act{Kind: WriteDown, Write: Write{Item: it.ID, State: Intent, Tries: it.Tries, Plan: k.Codec.Format(next)}}
+	return Act{Kind: WriteDown, Write: Write{Item: it.ID, State: Intent, Tries: it.Tries, Plan: string(k.Codec.Format(next))}}
 }
 
 // settle brings a planned version to its end, whoever planned it: it is published, or its place is taken from it.
 func (k Keeper) settle(j *Journal, it *Item, h Head, now time.Time) Act {
-	plan, err := k.Codec.Parse(it.Plan)
+	plan, err := k.Codec.Parse([]byte(it.Plan))
 	if err != nil {
 		return Act{Kind: WriteDown, Write: Write{Item: it.ID, State: Failed, Tries: it.Tries, Note: "the plan can't be read: " + err.Error()}}
 	}
-	if bytes.Equal(h.Place, it.Plan) {
+	if h.Place != nil && string(h.Place) == it.Plan {
 		return Act{Kind: WriteDown, Write: Write{Item: it.ID, State: Done, Tries: it.Tries, Doc: it.Plan,
 			Note: fmt.Sprintf("version %d", plan.Version)}}
 	}
@@ -124,7 +123,7 @@
 	if plan.Version <= h.Map.Version || plan.Follows(h.Map, now) != nil {
 		return Act{Kind: Withdraw, Version: plan.Version}
 	}
-	return Act{Kind: Publish, Version: plan.Version, Raw: it.Plan}
+	return Act{Kind: Publish, Version: plan.Version, Raw: []byte(it.Plan)}
 }
 
 // plan is the next map of a request.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -200,8 +200,9 @@
 }
 
 type heard struct {
-	epoch Epoch
-	at    time.Duration
+	epoch   Epoch
+	at      time.Duration
+	granted time.Duration
 }
 
 // NewWatch returns the watch of a member that does not lead.
@@ -229,21 +230,29 @@
 	}
 }
 
-// Renewed is told that an owner asks to go on, as it asks. It reports whether it may: no once its end is on its way.
-func (w *Watch) Renewed(duty string, e Epoch, now time.Duration) bool {
+// Renewed is told that an owner asks to go on, as it asks. It reports whether it may: no once its end is on its way. One that
+// asks as if it did not own it has not heard that it does; that holds for one lease only, else one whose answers are all
+// lost would keep everybody else out.
+func (w *Watch) Renewed(duty string, e Epoch, anew bool, now time.Duration) bool {
 	if !w.Leads() || w.expiring[duty] == e {
 		return false
 	}
-	if w.heard[duty].epoch <= e {
-		w.heard[duty] = heard{e, now}
+	h := w.heard[duty]
+	if h.epoch != e {
+		h = heard{e, w.since, w.since} // granted before this one led
 	}
+	if anew && now-h.granted >= w.terms.TTL {
+		return false
+	}
+	h.at = now
+	w.heard[duty] = h
 	return true
 }
 
 // Granted is told of an ownership as it is applied.
 func (w *Watch) Granted(duty string, e Epoch, now time.Duration) {
 	if w.Leads() && w.heard[duty].epoch < e {
-		w.heard[duty] = heard{e, now}
+		w.heard[duty] = heard{e, now, now}
 	}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -365,7 +365,7 @@
 		}
 		h := duties.Head{Map: m, Raw: raw}
 		if it != nil && it.State == duties.Intent {
-			if plan, err := settings.ParseCells(it.Plan); err == nil {
+			if plan, err := settings.ParseCells([]byte(it.Plan)); err == nil {
 				if h.Place, err = d.series.Place(plan.Version); err != nil {
 					return duties.Act{}, err
 				}
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -117,7 +118,9 @@
 	case err != nil, a.Error == WordLost:
 		c.leader = ""
 	case a.Error == WordNotLeader:
-		c.leader = a.Fields["leader"]
+		if c.leader = a.Fields["leader"]; !slices.Contains(c.Addrs, c.leader) {
+			c.leader = "" // only those are asked that it was told of
+		}
 	default:
 		c.leader = addr
 	}
--- a/internal/quorum/member/member.go
+++ b/internal/quorum/member/member.go
@@ -83,6 +83,7 @@
 	reads     map[string]read
 	seq       uint64
 	salt      uint64
+	changed   bool // the members
 	leads     bool
 	caughtUp  bool // an entry of its own term was applied
 	fatal     error
@@ -326,7 +327,8 @@
 			r.done(true)
 		}
 	}
-	if m.applied-m.snapAt >= compactEvery && m.fatal == nil {
+	if (m.applied-m.snapAt >= compactEvery || m.changed) && m.fatal == nil {
+		m.changed = false
 		data, err := m.state.Snapshot()
 		if err == nil {
 			err = m.disk.compact(m.applied, m.conf, data, compactKeep)
@@ -404,6 +406,7 @@
 			return
 		}
 		m.conf = m.raw.ApplyConfChange(&c)
+		m.changed = true // a snapshot from before it names no new member, and is refused there
 		var of change
 		json.Unmarshal(c.GetContext(), &of)
 		if of.Remove != 0 {
--- a/internal/quorum/member/words.go
+++ b/internal/quorum/member/words.go
@@ -272,7 +272,7 @@
 	}
 	ending := false
 	if d != nil && d.Holder == a.Who {
-		ending = !m.watch.Renewed(a.Duty, d.Epoch, now)
+		ending = !m.watch.Renewed(a.Duty, d.Epoch, a.Op != lease.Renew, now)
 	}
 	m.watch.Waits(a.Duty, a.Who, now)
 	m.stats.Inc("group", "renewals")
@@ -281,7 +281,7 @@
 		if d := m.state.Table.Duties[a.Duty]; d != nil {
 			copied := *d
 			r.Duty = &copied
-			if ending || a.Op == lease.Renew && (d.Holder != a.Who || d.Epoch != a.Epoch) {
+			if ending && d.Holder == a.Who || a.Op == lease.Renew && (d.Holder != a.Who || d.Epoch != a.Epoch) {
 				r.Error, r.Kind = d.Stale(a.Epoch).Error(), group.Stale
 			}
 		} else {
