Lease and fence searched; an answer from before a release no longer gives a duty back

Found by the plays of internal/lease (three processes, delayed, lost and doubled words, stops, drift, changes of the leader): a renewal's answer that came after the release made the holder own the epoch again (Holder.Told, h.over). Found by the search of internal/fence: a late copy of an order that was done before was done again (orders.Take).

--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -25,6 +25,7 @@
 	told      time.Duration // when it was last answered
 	wish      bool          // it is to own it where it can
 	hand      bool          // it was asked to hand it on
+	over      Epoch         // it has let go of this one, or was refused by it: an answer from before says nothing
 }
 
 // NewHolder returns the side of a process that waits. Who names one start of a process: what comes back under a name is
@@ -88,6 +89,7 @@
 	case Holding:
 		return Ask{Op: Renew, Duty: h.Duty, Who: h.Who, Epoch: h.epoch}, true
 	case Leaving:
+		h.over = max(h.over, h.epoch) // from here on it may be somebody else's, whether or not an answer comes
 		return Ask{Op: Release, Duty: h.Duty, Who: h.Who, Epoch: h.epoch}, true
 	}
 	return Ask{Op: Acquire, Duty: h.Duty, Who: h.Who}, true
@@ -103,14 +105,16 @@
 	h.told = now
 	switch {
 	case a.Op == Release:
+		h.over = max(h.over, a.Epoch)
 		if h.epoch == a.Epoch {
 			h.lose()
 		}
 	case d.Holder != h.Who || refused:
 		if d.Epoch >= h.epoch && (h.state == Holding || h.state == Leaving) {
+			h.over = max(h.over, h.epoch)
 			h.lose()
 		}
-	case d.Epoch < h.epoch: // an answer that was held on the way
+	case d.Epoch < h.epoch || d.Epoch <= h.over: // an answer that was held on the way
 	case h.state == Waiting || h.state == Holding:
 		if until := asked + h.terms.Hold(); now < until {
 			h.state, h.until = Holding, max(h.until, until)
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -22,6 +22,7 @@
 
 	mu   sync.Mutex
 	file *fence.File
+	did  map[string]fence.Order // in this start: a copy that comes late does nothing
 }
 
 const learnWithin = 2 * time.Second
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Orders{Service: service, Group: g, Log: l, file: f}, nil
+	return &Orders{Service: service, Group: g, Log: l, file: f, did: map[string]fence.Order{}}, nil
 }
 
 // Take has an order done if it is newer than all that were seen, or says why not. That it was seen lasts before it is done.
@@ -67,7 +68,13 @@
 			return false, err.Error()
 		}
 	}
+	if o.did[duty] == order {
+		return true, "it was done before"
+	}
 	yes, why := do()
+	if yes {
+		o.did[duty] = order
+	}
 	o.Log.Printf("orders: %s of %s, epoch %v, step %d: %s", act, duty, order.Epoch, step, why)
 	return yes, why
 }
