--- a/internal/duties/conductor.go
+++ b/internal/duties/conductor.go
@@ -225,8 +225,9 @@
 			return to(i, Returning, "")
 		case m.Stage == GoingOut && (it.Epoch != lease.Epoch(c.epoch) || it.Step == 0):
 			return c.down(it, p, "") // meant by an owner before: meant again by this one, before it is ordered again
-		case m.Stage == GoingOut && c.failed[m.Name] >= mostOrders:
-			return to(i, GoingBack, m.Name+" can't be told to go out") // the order may have come all the same
+		case m.Stage == GoingOut && c.failed[m.Name] >= mostOrders && at >= back:
+			p.Stopped = m.Name + " can't be told to go out"
+			return to(i, GoingBack, p.Stopped) // the order may have come all the same
 		case m.Stage == GoingBack && c.failed[m.Name] >= mostOrders && at >= back:
 			p.Stopped = m.Name + " can't be told to come back"
 			return to(i, Lost, p.Stopped)
--- /dev/null
+++ b/internal/lab/ownersim.go
@@ -0,0 +1,448 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"silverpath/internal/cells"
+	"silverpath/internal/duties"
+	"silverpath/internal/fence"
+	"silverpath/internal/group"
+	"silverpath/internal/lease"
+	"silverpath/internal/settings"
+)
+
+// OwnerSim is one schedule of faults in simulated time: three owners, a group whose leader changes and whose majority goes
+// away, servers that start anew, some with their book lost, orders that are held and given twice, and stops of an owner
+// between any two of its actions. All that decides is the real one.
+type OwnerSim struct {
+	rng      *rand.Rand
+	now      time.Duration
+	wall     time.Time
+	state    *group.State
+	watch    *lease.Watch
+	groupUp  bool
+	upAt     time.Duration
+	owners   []*simOwner
+	servers  []*simServer
+	places   map[int][]byte // of the map's versions
+	orders   []simOrder
+	newest   lease.Epoch // of an order that took effect
+	edits    lease.Epoch // of a map that was published
+	NoFence  bool // servers take whatever comes, to see that it is found
+	NoPlaces bool // a version of the map is written over
+	latest   *cells.Map
+	raw      []byte
+	Broken   []string
+	MostOut  int
+	Finished int // rolls and moves
+	Handed   int // changes of owner
+}
+
+type simOwner struct {
+	name     string
+	hz       float64
+	frozen   time.Duration
+	holders  map[string]*lease.Holder
+	conducts duties.Conductor
+	keeper   duties.Keeper
+	pending  map[string]*simAct // decided and checked, and not done yet
+	seen     map[string]duties.Seen
+	epochs   map[string]lease.Epoch
+}
+
+type simAct struct {
+	at  time.Duration
+	act duties.Act
+	e   lease.Epoch
+	j   duties.Journal
+}
+
+type simServer struct {
+	name  string
+	book  *fence.Book
+	did   fence.Order
+	out   bool
+	outs  int
+	up    time.Duration // it is there from then on
+	again int           // starts
+}
+
+type simOrder struct {
+	at     time.Duration
+	order  fence.Order
+	server int
+	from   *simOwner
+}
+
+const (
+	simServers = 6
+	simMoves   = 4
+	simStep    = 5 * time.Millisecond
+	simLease   = 300 * time.Millisecond
+)
+
+// NewOwnerSim returns a schedule.
+func NewOwnerSim(seed uint64) *OwnerSim {
+	s := &OwnerSim{rng: rand.New(rand.NewPCG(seed, 18)), state: group.New(1), groupUp: true, places: map[int][]byte{},
+		wall: time.UnixMilli(1_700_000_000_000)}
+	terms := lease.Terms{TTL: simLease, Drift: 0.05}
+	s.state.Terms = terms
+	s.watch = lease.NewWatch(terms)
+	s.watch.Lead(0)
+	m := &cells.Map{Version: 1, Window: time.Second, Skew: 50 * time.Millisecond, Lease: time.Second, Patient: time.Second,
+		Cells: []cells.Cell{{Name: "a", Capacity: 1000}, {Name: "b", Capacity: 1000}}}
+	for i := range simServers {
+		name := fmt.Sprint("s", i)
+		m.Servers = append(m.Servers, cells.Server{Name: name, Addr: name, Mgmt: name, Cell: string(rune('a' + i%2)), Weight: 1})
+		s.servers = append(s.servers, &simServer{name: name, book: fence.NewBook(nil, true)})
+	}
+	for i := range simMoves {
+		m.Tenants = append(m.Tenants, cells.Tenant{Name: fmt.Sprint("t", i), Rate: 1, Homes: []cells.Home{{Cell: "a"}}})
+	}
+	s.places[1] = settings.FormatCells(m)
+	for i := range 3 {
+		o := &simOwner{name: fmt.Sprint("o", i), hz: 1 + 0.05*(2*s.rng.Float64()-1), holders: map[string]*lease.Holder{},
+			pending: map[string]*simAct{}, seen: map[string]duties.Seen{}, epochs: map[string]lease.Epoch{}}
+		for _, d := range []string{duties.MapKeeper, duties.Conducts} {
+			o.holders[d] = lease.NewHolder(d, o.name, terms)
+		}
+		o.keeper.Codec = duties.Codec{Format: settings.FormatCells, Parse: settings.ParseCells}
+		s.owners = append(s.owners, o)
+	}
+	for i := range simMoves {
+		s.state.Apply(group.Command{Submit: &group.Submit{Duty: duties.MapKeeper, ID: fmt.Sprint("m", i), Kind: duties.KindMove,
+			Args: fmt.Appendf(nil, `{"tenant":"t%d","to":"b"}`, i)}})
+	}
+	s.state.Apply(group.Command{Submit: &group.Submit{Duty: duties.Conducts, ID: "r", Kind: duties.KindRoll,
+		Args: []byte(`{"cell_most":1,"all_most":2,"dwell_ms":30,"back_ms":60000}`)}})
+	return s
+}
+
+func (s *OwnerSim) broke(format string, args ...any) {
+	s.Broken = append(s.Broken, fmt.Sprintf("%v: ", s.now)+fmt.Sprintf(format, args...))
+}
+
+func (s *OwnerSim) chance(p float64) bool { return s.rng.Float64() < p }
+
+func (s *OwnerSim) span(most time.Duration) time.Duration {
+	return time.Duration(s.rng.Float64() * float64(most))
+}
+
+// Run plays until all is done, faults for the first so many simulated seconds, or gives up.
+func (s *OwnerSim) Run(faults time.Duration) {
+	for s.now < faults+60*time.Second && len(s.Broken) == 0 {
+		s.now += simStep
+		if s.now < faults {
+			s.trouble()
+		}
+		if !s.groupUp && s.now >= s.upAt { // another leader, who knows nothing of what was promised
+			s.groupUp = true
+			s.watch.Follow()
+			s.watch.Lead(s.now)
+		}
+		if s.groupUp {
+			for _, a := range s.watch.Due(s.state.Table, s.now) {
+				s.ask(a)
+			}
+		}
+		for _, o := range s.owners {
+			if o.frozen <= s.now {
+				s.own(o)
+			}
+		}
+		s.deliver()
+		if s.over() && s.now > faults {
+			break
+		}
+	}
+	s.end()
+}
+
+// trouble draws what goes wrong now.
+func (s *OwnerSim) trouble() {
+	if s.chance(0.01) {
+		s.owners[s.rng.IntN(3)].frozen = s.now + s.span(4*simLease)
+	}
+	if s.chance(0.002) && s.groupUp {
+		s.groupUp, s.upAt = false, s.now+s.span(5*simLease)
+	}
+	if s.chance(0.004) {
+		x := s.servers[s.rng.IntN(simServers)]
+		x.up, x.out, x.did = s.now+s.span(time.Second), false, fence.Order{}
+		x.again++
+		if s.chance(0.3) {
+			x.book = fence.NewBook(nil, true) // its disk is lost too
+		} else {
+			x.book = fence.NewBook(x.book.Seen(), true)
+		}
+	}
+}
+
+func (s *OwnerSim) ask(a lease.Ask) (lease.Duty, bool) {
+	d := s.state.Table.Duties[a.Duty]
+	if d != nil && (a.Op == lease.Renew || a.Op == lease.Acquire && (d.Holder == a.Who || slices.Contains(d.Queue, a.Who))) {
+		ending := d.Holder == a.Who && !s.watch.Renewed(a.Duty, d.Epoch, a.Op != lease.Renew, s.now)
+		s.watch.Waits(a.Duty, a.Who, s.now)
+		return *d, ending || a.Op == lease.Renew && (d.Holder != a.Who || d.Epoch != a.Epoch)
+	}
+	r := s.state.Apply(group.Command{Ask: &a})
+	if r.Duty == nil {
+		return lease.Duty{}, true
+	}
+	s.watch.Granted(r.Duty.Name, r.Duty.Epoch, s.now)
+	return *r.Duty, r.Error != ""
+}
+
+// own is an owner's turn: its leases, then, of each duty, what it had decided, or a new decision.
+func (s *OwnerSim) own(o *simOwner) {
+	clock := time.Duration(float64(s.now) * o.hz)
+	for _, name := range []string{duties.MapKeeper, duties.Conducts} {
+		h := o.holders[name]
+		if a, ok := h.Next(clock); ok && s.groupUp && !s.chance(0.05) {
+			d, no := s.ask(a)
+			if !s.chance(0.05) {
+				if gained, _ := h.Told(clock, a, d, no, clock); gained {
+					s.Handed++
+				}
+			}
+		}
+		if p := o.pending[name]; p != nil {
+			if s.now >= p.at {
+				delete(o.pending, name)
+				s.act(o, name, p)
+			}
+			continue
+		}
+		e, has := h.Owns(clock)
+		if !has || !s.groupUp {
+			continue
+		}
+		if err := s.state.Table.Owns(name, o.name, e); err != nil {
+			continue
+		}
+		j := *s.state.Journal(name)
+		j.Items = slices.Clone(j.Items)
+		act := s.decide(o, name, &j, e, clock)
+		if act.Kind == duties.Rest {
+			continue
+		}
+		// It has checked that it owns the duty; it may be stopped before it acts, and between an act and its outcome.
+		wait := time.Duration(0)
+		if s.chance(0.1) {
+			wait = s.span(3 * simLease)
+		}
+		o.pending[name] = &simAct{s.now + wait, act, e, j}
+	}
+}
+
+func (s *OwnerSim) head() (m *cells.Map, raw []byte) {
+	if s.latest != nil {
+		return s.latest, s.raw
+	}
+	last := 0
+	for v, b := range s.places {
+		if v > last && b[0] == '{' {
+			last, raw = v, b
+		}
+	}
+	m, _ = settings.ParseCells(raw)
+	s.latest, s.raw = m, raw
+	return m, raw
+}
+
+func (s *OwnerSim) decide(o *simOwner, name string, j *duties.Journal, e lease.Epoch, clock time.Duration) duties.Act {
+	m, raw := s.head()
+	if name == duties.MapKeeper {
+		h := duties.Head{Map: m, Raw: raw}
+		if it := j.Current(); it != nil && it.State == duties.Intent {
+			if plan, err := settings.ParseCells([]byte(it.Plan)); err == nil {
+				h.Place = s.places[plan.Version]
+			}
+		}
+		return o.keeper.Next(j, h, uint64(e), s.wall.Add(s.now))
+	}
+	var list []duties.Member
+	for _, x := range m.Servers {
+		list = append(list, duties.Member{Name: x.Name, Cell: x.Cell, Mgmt: x.Mgmt})
+	}
+	for _, x := range s.servers {
+		o.seen[x.name] = duties.Seen{At: clock, Reachable: x.up <= s.now, Ready: x.up <= s.now && !x.out}
+	}
+	return o.conducts.Next(j, uint64(e), list, o.seen, clock)
+}
+
+func (s *OwnerSim) act(o *simOwner, name string, p *simAct) {
+	switch p.act.Kind {
+	case duties.WriteDown:
+		if s.groupUp {
+			w := p.act.Write
+			w.Duty, w.Who, w.Epoch, w.Step = name, o.name, p.e, p.j.Step+1
+			s.state.Apply(group.Command{Write: &w})
+		}
+	case duties.Publish, duties.Withdraw:
+		raw := p.act.Raw
+		if p.act.Kind == duties.Withdraw {
+			raw = []byte("withdrawn\n")
+		}
+		if s.places[p.act.Version] == nil || s.NoPlaces { // else the place is taken
+			s.latest = nil
+			s.places[p.act.Version] = raw
+			if m, err := settings.ParseCells(raw); err == nil {
+				if lease.Epoch(m.Epoch) < s.edits {
+					s.broke("a map of epoch %v after one of %v", m.Epoch, s.edits)
+				}
+				s.edits = lease.Epoch(m.Epoch)
+			}
+		}
+	case duties.Send:
+		it := p.j.Current()
+		act := "rejoin"
+		if p.act.Order.Evacuate {
+			act = "evacuate"
+		}
+		server := int(p.act.Order.Server[1] - '0')
+		order := simOrder{s.now, fence.Order{Duty: name, Epoch: p.e, Step: it.Step, Act: act}, server, o}
+		switch {
+		case s.chance(0.05): // lost
+			o.conducts.Told(p.act.Order.Server, false)
+		case s.chance(0.1): // held on the way
+			order.at += s.span(10 * simLease)
+			o.conducts.Told(p.act.Order.Server, false)
+			order.from = nil
+			s.orders = append(s.orders, order)
+		default:
+			s.orders = append(s.orders, order)
+		}
+		if s.chance(0.1) { // a copy
+			order.at, order.from = s.now+s.span(10*simLease), nil
+			s.orders = append(s.orders, order)
+		}
+	}
+}
+
+func (s *OwnerSim) deliver() {
+	var later []simOrder
+	for _, o := range s.orders {
+		if o.at > s.now {
+			later = append(later, o)
+			continue
+		}
+		yes := s.take(s.servers[o.server], o.order)
+		if o.from != nil {
+			o.from.conducts.Told(s.servers[o.server].name, yes)
+		}
+	}
+	s.orders = later
+}
+
+// take is what a server does with an order.
+func (s *OwnerSim) take(x *simServer, o fence.Order) bool {
+	if x.up > s.now {
+		return false
+	}
+	if !x.book.Knows(o.Duty) {
+		if !s.groupUp {
+			return false
+		}
+		x.book.Learn(o.Duty, s.state.Table.Duties[o.Duty].Epoch, s.state.Journal(o.Duty).Step)
+	}
+	if _, err := x.book.Judge(o); err != nil && !s.NoFence {
+		return false
+	}
+	x.book.Note(o)
+	if x.did == o {
+		return true
+	}
+	x.did = o
+	evacuate := o.Act == "evacuate"
+	if x.out != evacuate {
+		if o.Epoch < s.newest {
+			s.broke("%s: %s of epoch %v after one of %v", x.name, o.Act, o.Epoch, s.newest)
+		}
+		if evacuate {
+			x.outs++
+		}
+	}
+	s.newest = max(s.newest, o.Epoch)
+	x.out = evacuate
+	out, cell := 0, [2]int{}
+	for i, y := range s.servers {
+		if y.out {
+			out++
+			cell[i%2]++
+		}
+	}
+	s.MostOut = max(s.MostOut, out)
+	if out > 2 || cell[0] > 1 || cell[1] > 1 {
+		s.broke("%d out, %v by cell", out, cell)
+	}
+	return true
+}
+
+func (s *OwnerSim) over() bool {
+	for _, name := range []string{duties.MapKeeper, duties.Conducts} {
+		if s.state.Journal(name).Current() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// end looks whether all was done, and once.
+func (s *OwnerSim) end() {
+	if len(s.Broken) > 0 {
+		return
+	}
+	m, _ := s.head()
+	for i := range simMoves {
+		it := s.state.Journal(duties.MapKeeper).Item(fmt.Sprint("m", i))
+		homes := len(m.Tenants[i].Homes)
+		switch {
+		case it.State == duties.Done && homes == 2:
+			s.Finished++
+		case it.State == duties.Failed && homes == 1: // given up by the rule
+		default:
+			s.broke("%s is %s (%s), t%d has %d homes", it.ID, it.State, it.Note, i, homes)
+		}
+	}
+	r := s.state.Journal(duties.Conducts).Item("r")
+	switch r.State {
+	case duties.Done:
+		s.Finished++
+		for _, x := range s.servers {
+			if x.out {
+				s.broke("%s is out after the roll", x.name)
+			}
+			if x.outs == 0 || x.outs > 1+x.again {
+				s.broke("%s was out %d times, it started %d times anew", x.name, x.outs, x.again)
+			}
+		}
+	case duties.Failed:
+	default:
+		s.broke("the roll is %s: %s", r.State, r.Note)
+	}
+}
+
+// SimOwners plays so many schedules and returns what they came to, and the first that was broken. Edit, which may be nil,
+// changes a schedule before it is played.
+func SimOwners(first, n uint64, edit func(*OwnerSim)) (finished, handed int, err error) {
+	for seed := first; seed < first+n; seed++ {
+		s := NewOwnerSim(seed)
+		if edit != nil {
+			edit(s)
+		}
+		s.Run(6 * time.Second)
+		finished, handed = finished+s.Finished, handed+s.Handed
+		for _, b := range s.Broken {
+			err = errors.Join(err, fmt.Errorf("seed %d: %s", seed, b))
+		}
+		if err != nil {
+			return finished, handed, err
+		}
+	}
+	return finished, handed, nil
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -295,9 +295,9 @@
 	case duties.Send:
 		it := j.Current()
 		Boundary(d.name, "intent", it.Step)
-		d.send(ctx, epoch, it.Step, act.Order)
+		yes := d.send(ctx, epoch, it.Step, act.Order)
 		Boundary(d.name, "act", it.Step)
-		return true, nil
+		return yes, nil
 	}
 	return false, nil
 }
@@ -322,7 +322,7 @@
 }
 
 // send gives an order.
-func (d *duty) send(ctx context.Context, epoch lease.Epoch, step uint64, o duties.Order) {
+func (d *duty) send(ctx context.Context, epoch lease.Epoch, step uint64, o duties.Order) (yes bool) {
 	call := "rejoin"
 	if o.Evacuate {
 		call = "evacuate"
@@ -344,6 +344,7 @@
 			d.cfg.Group.Do(asking, group.Command{Ask: &lease.Ask{Op: lease.Raise, Duty: d.name, Epoch: lease.Epoch(g<<32 | n)}})
 		}
 	}
+	return yes
 }
 
 var codec = duties.Codec{Format: settings.FormatCells, Parse: settings.ParseCells}
