--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -4,16 +4,19 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
+
 	"silverpath/internal/cells"
 	"silverpath/internal/duties"
 	"silverpath/internal/fleet"
@@ -67,55 +70,39 @@
 
 const testLease = 600 * time.Millisecond
 
-// testGroup is a group of this program's processes. Each hears the others, and those who ask, by a way of its own.
+// testGroup is a group of this program's processes.
 type testGroup struct {
-	t       testing.TB
-	dir     string
-	addrs   []string // where the members listen
-	ways    []*faults.Between
-	members []*harness.Process
-	client  *quorum.Client
-}
-
-func freeAddr(t testing.TB) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
+	*harness.Group
+	t testing.TB
 }
 
 func newGroup(t testing.TB, n int) *testGroup {
 	t.Helper()
-	g := &testGroup{t: t, dir: t.TempDir(), client: &quorum.Client{Group: "test"}, members: make([]*harness.Process, n)}
-	for i := range n {
-		g.addrs = append(g.addrs, freeAddr(t))
-		way, err := faults.Listen(g.addrs[i], true, uint64(i))
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(way.Close)
-		g.ways = append(g.ways, way)
-		g.client.Addrs = append(g.client.Addrs, way.Addr())
-	}
-	t.Cleanup(g.client.Close)
+	g, err := harness.NewGroup(t.TempDir(), n, lease.Terms{TTL: testLease, Drift: 0.05}, 20*time.Millisecond,
+		func(args []string, env ...string) (*harness.Process, error) {
+			return harness.Start(program(t, args, env...))
+		})
 	t.Cleanup(func() {
-		for i, m := range g.members {
+		for i, m := range g.Members {
 			if t.Failed() && m != nil {
 				t.Logf("member %d:\n%s", i, m.Log())
 			}
 		}
+		g.Close()
 	})
-	for i := range n {
-		g.start(i)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if _, err := g.client.Found(g.within(10*time.Second), lease.Terms{TTL: testLease, Drift: 0.05}); err != nil {
+	return &testGroup{g, t}
+}
+
+func freeAddr(t testing.TB) string {
+	t.Helper()
+	addr, err := harness.FreeAddr()
+	if err != nil {
 		t.Fatal(err)
 	}
-	g.awaitLeader()
-	return g
+	return addr
 }
 
 func (g *testGroup) within(d time.Duration) context.Context {
@@ -124,91 +111,49 @@
 	return ctx
 }
 
-func (g *testGroup) diskOf(i int) string { return filepath.Join(g.dir, fmt.Sprint("q", i)) }
-
-func (g *testGroup) start(i int, env ...string) {
-	g.t.Helper()
-	list, _ := json.Marshal(g.client.Addrs)
-	file := write(g.t, "quorum.json", fmt.Sprintf(`{"name":"q%d","group":"test","members":%s,"member":{"listen":%q,"addr":%q,"dir":%q,"tick_ms":20}}`,
-		i, list, g.addrs[i], g.ways[i].Addr(), g.diskOf(i)))
-	g.members[i] = begin(g.t, []string{"quorum", "--config", file}, append(env, "SILVERPATH_DISK="+g.diskOf(i)+".fault")...)
-	if _, err := g.members[i].Await(10*time.Second, 0, "group.listening"); err != nil {
-		g.t.Fatal(err)
-	}
-}
-
-// fault has a member's disk fail, or stall for a time with every write; empty: well again.
-func (g *testGroup) fault(i int, text string) {
-	if text == "" {
-		os.Remove(g.diskOf(i) + ".fault")
-	} else if err := os.WriteFile(g.diskOf(i)+".fault", []byte(text), 0o600); err != nil {
-		g.t.Fatal(err)
-	}
-}
-
-func (g *testGroup) awaitLeader() int {
-	g.t.Helper()
-	if _, err := g.client.Read(g.within(10*time.Second), ""); err != nil {
-		g.t.Fatalf("no leader: %v", err)
-	}
-	for i, a := range g.client.Addrs {
-		if s, err := g.client.StatusOf(g.within(time.Second), a); err == nil && s.State == "leader" {
-			return i
+func must[T any](t testing.TB) func(T, error) T {
+	return func(v T, err error) T {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
 		}
+		return v
 	}
-	return g.awaitLeader()
 }
 
-func (g *testGroup) view() quorum.View {
+func (g *testGroup) start(i int, env ...string) {
 	g.t.Helper()
-	v, err := g.client.Read(g.within(10*time.Second), "*")
-	if err != nil {
+	if err := g.Start(i, env...); err != nil {
 		g.t.Fatal(err)
 	}
-	return v
 }
 
+func (g *testGroup) awaitLeader() int { g.t.Helper(); return must[int](g.t)(g.Leader()) }
+
+func (g *testGroup) view() quorum.View { g.t.Helper(); return must[quorum.View](g.t)(g.View()) }
+
 func (g *testGroup) do(c group.Command) group.Result {
 	g.t.Helper()
-	r, err := g.client.Do(g.within(10*time.Second), c)
-	if err != nil {
-		g.t.Fatal(err)
-	}
-	return r
+	return must[group.Result](g.t)(g.Do(c))
 }
 
-// submit queues a request to a duty.
 func (g *testGroup) submit(duty, id, kind string, args any) {
 	g.t.Helper()
-	raw, err := json.Marshal(args)
-	if err != nil {
+	if err := g.Submit(duty, id, kind, args); err != nil {
 		g.t.Fatal(err)
 	}
-	if r := g.do(group.Command{Submit: &group.Submit{Duty: duty, ID: id, Kind: kind, Args: raw}}); r.Error != "" {
-		g.t.Fatal(r.Error)
-	}
 }
 
-// over waits until nothing more becomes of an item.
 func (g *testGroup) over(duty, id string, within time.Duration) duties.Item {
 	g.t.Helper()
-	it, err := follow(g.within(within), g.client, duty, id, func(duties.Item) {})
-	if err != nil {
-		g.t.Fatalf("%s is %s, %s: %v", id, it.State, it.Note, err)
-	}
-	return it
+	return must[duties.Item](g.t)(g.Over(duty, id, within))
 }
 
-// owner starts a process that owns duties, and asks the group by ways of its own where those are given.
 func (g *testGroup) owner(name, dir string, list []string, members []string, env ...string) *harness.Process {
 	g.t.Helper()
-	if members == nil {
-		members = g.client.Addrs
-	}
-	ds, _ := json.Marshal(list)
-	ms, _ := json.Marshal(members)
-	file := write(g.t, "owner.json", fmt.Sprintf(`{"name":%q,"group":"test","members":%s,"owner":{"duties":%s,"map":%q}}`, name, ms, ds, dir))
-	return begin(g.t, []string{"duty", "run", "--config", file}, env...)
+	p := must[*harness.Process](g.t)(g.Owner(name, dir, list, members, nil, env...))
+	g.t.Cleanup(p.Kill)
+	return p
 }
 
 func await(t testing.TB, what string, within time.Duration, yes func() bool) {
@@ -249,7 +194,7 @@
 	for i := range 30 {
 		g.do(group.Command{Ask: &lease.Ask{Op: lease.Pause, Duty: duties.Conducts, Why: fmt.Sprint(i)}})
 	}
-	stranger := &quorum.Client{Group: "other", Addrs: g.client.Addrs}
+	stranger := &quorum.Client{Group: "other", Addrs: g.Client.Addrs}
 	defer stranger.Close()
 	if _, err := stranger.Read(g.within(5*time.Second), ""); err == nil || !strings.Contains(err.Error(), `this is group "test", not "other"`) {
 		t.Errorf("a stranger: %v", err)
@@ -257,37 +202,37 @@
 	// An empty disk under the old name.
 	lead := g.awaitLeader()
 	x := (lead + 1) % 3
-	g.members[x].Kill()
-	if err := os.Rename(g.diskOf(x), g.diskOf(x)+".aside"); err != nil {
+	g.Members[x].Kill()
+	if err := os.Rename(g.Disk(x), g.Disk(x)+".aside"); err != nil {
 		t.Fatal(err)
 	}
 	g.start(x)
-	s, err := g.client.StatusOf(g.within(time.Second), g.client.Addrs[x])
+	s, err := g.Client.StatusOf(g.within(time.Second), g.Client.Addrs[x])
 	if err != nil || s.State != "unfounded" || s.Voter {
 		t.Errorf("on an empty disk: %+v, %v", s, err)
 	}
-	if _, err := g.client.Found(g.within(5*time.Second), lease.Terms{TTL: testLease}); err == nil {
+	if _, err := g.Client.Found(g.within(5*time.Second), lease.Terms{TTL: testLease}); err == nil {
 		t.Error("a group is founded over another one")
 	}
-	flags := []string{"--group", "test", "--members", strings.Join(g.client.Addrs, ",")}
-	if code, _, message := run(t, "", append([]string{"quorum", "add", "--addr", g.client.Addrs[x]}, flags...)...); code != 1 || !strings.Contains(message, "by another disk: remove that first") {
+	flags := []string{"--group", "test", "--members", strings.Join(g.Client.Addrs, ",")}
+	if code, _, message := run(t, "", append([]string{"quorum", "add", "--addr", g.Client.Addrs[x]}, flags...)...); code != 1 || !strings.Contains(message, "by another disk: remove that first") {
 		t.Errorf("added beside its old disk: %d, %s", code, message)
 	}
-	for _, args := range [][]string{{"remove", "--name", fmt.Sprint("q", x)}, {"add", "--addr", g.client.Addrs[x]}} {
+	for _, args := range [][]string{{"remove", "--name", fmt.Sprint("q", x)}, {"add", "--addr", g.Client.Addrs[x]}} {
 		if code, out, message := run(t, "", append(append([]string{"quorum"}, args...), flags...)...); code != 0 {
 			t.Fatalf("%v: %s%s", args, out, message)
 		}
 	}
 	await(t, "the new disk has a vote", 5*time.Second, func() bool {
-		s, err := g.client.StatusOf(g.within(time.Second), g.client.Addrs[x])
+		s, err := g.Client.StatusOf(g.within(time.Second), g.Client.Addrs[x])
 		return err == nil && s.Voter && s.State == "follower"
 	})
 	if g.view().Table.Duties[duties.Conducts].Paused != "29" {
 		t.Error("what was agreed is gone")
 	}
 	// An older disk: copied, then more is agreed on, and the copy put back.
-	g.members[x].Kill()
-	data, err := os.ReadFile(filepath.Join(g.diskOf(x), "group.db"))
+	g.Members[x].Kill()
+	data, err := os.ReadFile(filepath.Join(g.Disk(x), "group.db"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -296,12 +241,12 @@
 		g.do(group.Command{Ask: &lease.Ask{Op: lease.Pause, Duty: duties.Conducts, Why: fmt.Sprint("b", i)}})
 	}
 	time.Sleep(1300 * time.Millisecond) // it has said how far it is
-	g.members[x].Kill()
-	if err := os.WriteFile(filepath.Join(g.diskOf(x), "group.db"), data, 0o600); err != nil {
+	g.Members[x].Kill()
+	if err := os.WriteFile(filepath.Join(g.Disk(x), "group.db"), data, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	g.start(x)
-	if _, err := g.members[x].Await(10*time.Second, 0, "this disk has no vote"); err != nil {
+	if _, err := g.Members[x].Await(10*time.Second, 0, "this disk has no vote"); err != nil {
 		t.Errorf("an older disk: %v", err)
 	}
 	if g.view().Table.Duties[duties.Conducts].Paused != "b29" {
@@ -321,11 +266,11 @@
 		lead := g.awaitLeader()
 		switch n {
 		case 0:
-			g.fault((lead+1)%3, "2s") // every write
+			g.Fault((lead+1)%3, "2s") // every write
 		case 1:
-			g.fault(lead, "no space left on device")
+			g.Fault(lead, "no space left on device")
 		case 2:
-			g.fault(lead, "input/output error")
+			g.Fault(lead, "input/output error")
 		}
 		for i := range 5 {
 			who := fmt.Sprintf("p%d-%d", n, i)
@@ -336,16 +281,16 @@
 			last = r.Duty.Epoch
 			ask(lease.Release, who, last)
 		}
-		for i := range g.members {
-			g.fault(i, "")
+		for i := range g.Members {
+			g.Fault(i, "")
 			if n == 0 {
 				time.Sleep(700 * time.Millisecond) // together the stall
 			}
 			if n == 3 {
-				g.members[i].Kill() // the power
+				g.Members[i].Kill() // the power
 			}
 		}
-		for i, m := range g.members {
+		for i, m := range g.Members {
 			if n < 3 {
 				select {
 				case <-m.Ended():
@@ -429,7 +374,7 @@
 	t.Helper()
 	s := &testServers{t: t, g: g}
 	var list []cells.Server
-	members, _ := json.Marshal(g.client.Addrs)
+	members, _ := json.Marshal(g.Client.Addrs)
 	for i := range n {
 		m, err := standin.Listen(standin.Config{Listen: "127.0.0.1:0", Cores: 8, Shape: standin.Shape{Knee: 8, Speed: 1},
 			Other: standin.Class{Least: time.Millisecond, Most: 2 * time.Millisecond}, RunFactor: 1, Seed: uint64(i + 1)})
@@ -574,14 +519,14 @@
 		t.Fatal(err)
 	}
 	s.start(0, freeAddr(t))
-	for i := range g.ways {
-		g.ways[i].Cut(true)
+	for i := range g.Ways {
+		g.Ways[i].Cut(true)
 	}
 	if a, err := s.mgmt[0].Again(evacuate); err != nil || !strings.Contains(a, "no epoch is known yet") {
 		t.Errorf("without book and group: %q, %v", a, err)
 	}
-	for i := range g.ways {
-		g.ways[i].Cut(false)
+	for i := range g.Ways {
+		g.Ways[i].Cut(false)
 	}
 	g.awaitLeader()
 	if a, err := s.mgmt[0].Again(evacuate); err != nil || !strings.Contains(a, "stale epoch") {
@@ -590,6 +535,112 @@
 	if s.out() != 0 {
 		t.Error("a late order took effect")
 	}
+	// Without the fence it does, and it is seen that it does.
+	s.procs[0].Kill()
+	s.edges[0] = write(t, "edge.json", `{"cell":true}`)
+	s.start(0, freeAddr(t))
+	if a, err := s.mgmt[0].Again(evacuate); err != nil || !strings.Contains(a, "200") || s.out() != 1 {
+		t.Errorf("without a fence: %q, %v, %d out", a, err, s.out())
+	}
+}
+
+// pauses is what a history of the group must be like: a duty's pause as a register that is written and read.
+var pauses = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, in, out any) (bool, any) {
+		if in.(string) != "" {
+			return true, in
+		}
+		return out.(string) == state.(string), state
+	},
+}
+
+// What the group agrees on is one history, whatever becomes of its members and of what they say.
+func TestGroupHistory(t *testing.T) {
+	g := newGroup(t, 3)
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	began := time.Now()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for c := range 4 {
+		wg.Go(func() {
+			client := &quorum.Client{Group: "test", Addrs: g.Client.Addrs}
+			defer client.Close()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				in, out := "", ""
+				call := time.Since(began)
+				var err error
+				if n%2 == 0 {
+					in = fmt.Sprint(c, "-", n)
+					_, err = client.Do(g.within(400*time.Millisecond), group.Command{Ask: &lease.Ask{Op: lease.Pause, Duty: duties.Watches, Why: in}})
+				} else {
+					var v quorum.View
+					v, err = client.Read(g.within(400*time.Millisecond), "")
+					if d := v.Table; err == nil && d.Duties[duties.Watches] != nil {
+						out = d.Duties[duties.Watches].Paused
+					}
+				}
+				back := int64(time.Since(began))
+				switch {
+				case err != nil && in == "":
+					continue // it says nothing
+				case err != nil:
+					back = 1 << 60 // it may come into force at any time, or never
+				}
+				mu.Lock()
+				history = append(history, porcupine.Operation{ClientId: len(history), Input: in, Output: out, Call: int64(call), Return: back})
+				mu.Unlock()
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	rng := rand.New(rand.NewPCG(1, 18))
+	for n := range 14 {
+		time.Sleep(150 * time.Millisecond)
+		x := rng.IntN(3)
+		switch n % 5 {
+		case 0:
+			g.Ways[x].Set(faults.Way(rng.IntN(2)), faults.Fate{Lost: true})
+		case 1:
+			g.Members[x].Kill()
+			g.start(x)
+		case 2:
+			g.Members[x].Freeze()
+			time.AfterFunc(300*time.Millisecond, g.Members[x].Wake)
+		case 3:
+			g.Ways[x].Set(faults.There, faults.Fate{Delay: 20 * time.Millisecond, Twice: 0.3, Swap: 0.3})
+		case 4:
+			for _, w := range g.Ways {
+				w.Set(faults.There, faults.Fate{})
+				w.Set(faults.Back, faults.Fate{})
+			}
+		}
+	}
+	close(stop)
+	wg.Wait()
+	if len(history) < 100 {
+		t.Errorf("only %d operations", len(history))
+	}
+	if res := porcupine.CheckOperationsTimeout(pauses, history, 30*time.Second); res != porcupine.Ok {
+		t.Errorf("the history of %d operations is %v", len(history), res)
+	}
+	// The checker finds a read that is behind.
+	for i := len(history) - 1; i > 0; i-- {
+		if o := history[i]; o.Input == "" && o.Output != "" {
+			history[i].Output = "never written"
+			break
+		}
+	}
+	if porcupine.CheckOperationsTimeout(pauses, history, 30*time.Second) == porcupine.Ok {
+		t.Error("the checker finds nothing")
+	}
+	t.Logf("%d operations", len(history))
 }
 
 // The group loses its majority in the middle of a roll: servers serve on, nobody is sent out meanwhile, and the roll is
@@ -600,8 +651,8 @@
 	g.owner("one", s.dir, []string{duties.Conducts, duties.MapKeeper}, nil)
 	g.submit(duties.Conducts, "r", duties.KindRoll, duties.Roll{CellMost: 1, AllMost: 2, DwellMS: 100, BackMS: 8000})
 	await(t, "one is out", 10*time.Second, func() bool { return s.out() > 0 })
-	g.members[0].Kill()
-	g.members[1].Freeze()
+	g.Members[0].Kill()
+	g.Members[1].Freeze()
 	time.Sleep(2 * testLease)
 	was := s.out()
 	from := make([]int, 4)
@@ -618,7 +669,7 @@
 		t.Errorf("%d were out", was)
 	}
 	g.submitLater("m", duties.KindMove, duties.Move{Tenant: "t1", To: "b"})
-	g.members[1].Wake()
+	g.Members[1].Wake()
 	g.start(0)
 	if it := g.over(duties.Conducts, "r", 20*time.Second); it.State != duties.Done {
 		t.Errorf("the roll: %s, %s", it.State, it.Note)
@@ -630,11 +681,10 @@
 
 // submitLater queues a request once the group can be asked.
 func (g *testGroup) submitLater(id, kind string, args any) {
-	raw, _ := json.Marshal(args)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		g.client.Do(g.within(20*time.Second), group.Command{Submit: &group.Submit{Duty: duties.MapKeeper, ID: id, Kind: kind, Args: raw}})
+		g.Submit(duties.MapKeeper, id, kind, args)
 	}()
 	g.t.Cleanup(func() { <-done })
 }
@@ -647,13 +697,13 @@
 			t.Parallel()
 			g := newGroup(t, 3)
 			for i := range 3 { // the group's clocks
-				g.members[i].Kill()
+				g.Members[i].Kill()
 				g.start(i, "SILVERPATH_CLOCK="+clocks[1])
 			}
 			g.awaitLeader()
 			var ways []*faults.Between
 			var addrs []string
-			for _, a := range g.client.Addrs {
+			for _, a := range g.Client.Addrs {
 				w, err := faults.Listen(a, true, 1)
 				if err != nil {
 					t.Fatal(err)
--- a/internal/lab/bench_test.go
+++ b/internal/lab/bench_test.go
@@ -1,6 +1,16 @@
 package lab
 
-import "testing"
+import (
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	if RunMember() {
+		return
+	}
+	os.Exit(m.Run())
+}
 
 // The measurements, by hand: go test -run '^$' -bench NAME -benchtime 1x -timeout 20m ./internal/lab/. docs/results has what
 // they printed.
@@ -10,3 +20,4 @@
 func BenchmarkCells(b *testing.B)     { Cells(b) }
 func BenchmarkOperators(b *testing.B) { Operators(b) }
 func BenchmarkTakeover(b *testing.B)  { Takeover(b) }
+func BenchmarkOwner(b *testing.B)     { Owner(b) }
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -26,6 +26,10 @@
 	Machines []*standin.Interpreter
 	Servers  []*Process
 	Routers  []*Process
+	edge     func(dir string) string
+	outs     sync.Mutex
+	out      int // servers that are out, and the most at once
+	mostOut  int
 }
 
 const (
@@ -39,7 +43,12 @@
 
 // NewFleet starts a fleet whose servers are spread over the cells, in turn, and whose tenants live where the map has them.
 func NewFleet(bin, dir string, servers, routers int, cellNames []string, tenants []cells.Tenant) (*Fleet, error) {
-	f := &Fleet{bin: bin, dir: dir, MapFile: filepath.Join(dir, "cells.json")}
+	return NewFleetWith(bin, dir, servers, routers, cellNames, tenants, func(string) string { return cellEdge })
+}
+
+// NewFleetWith starts one whose servers have edge files by their folders.
+func NewFleetWith(bin, dir string, servers, routers int, cellNames []string, tenants []cells.Tenant, edge func(dir string) string) (*Fleet, error) {
+	f := &Fleet{bin: bin, dir: dir, edge: edge, MapFile: filepath.Join(dir, "cells.json")}
 	var list []string
 	for _, t := range tenants { // a server's part of what its tenants have agreed on, with as much again to spare
 		list = append(list, fmt.Sprintf(`{"name":%q,"allowance_per_s":%g}`, t.Name, 2*t.Rate*float64(len(cellNames))/float64(servers)))
@@ -61,7 +70,7 @@
 			return f, err
 		}
 		f.Machines = append(f.Machines, i)
-		p, err := Start(bin, f.sub(fmt.Sprint("s", n)), f.site, i.Addr(), cellEdge)
+		p, err := Start(bin, f.sub(fmt.Sprint("s", n)), f.site, i.Addr(), edge(f.sub(fmt.Sprint("s", n))))
 		if err != nil {
 			return f, err
 		}
@@ -99,16 +108,34 @@
 
 // Restart kills a server and has it come back cold, after a while, under its name and address.
 func (f *Fleet) Restart(n int, after time.Duration) error {
+	f.enter(1)
+	defer f.enter(-1)
+	return f.restartAt(n, after)
+}
+
+// restartAt starts a server anew at all of its addresses.
+func (f *Fleet) restartAt(n int, after time.Duration) error {
 	old := f.Servers[n]
 	old.Kill()
 	time.Sleep(after)
-	p, err := Start(f.bin, f.sub(fmt.Sprint("s", n)), f.site, f.Machines[n].Addr(), cellEdge, "--listen", old.Platform)
+	dir := f.sub(fmt.Sprint("s", n))
+	site := f.site
+	site.Mgmt = old.Mgmt
+	p, err := Start(f.bin, dir, site, f.Machines[n].Addr(), f.edge(dir), "--listen", old.Platform)
 	if err == nil {
 		f.Servers[n] = p
 	}
 	return err
 }
 
+// enter counts those that are out.
+func (f *Fleet) enter(n int) {
+	f.outs.Lock()
+	defer f.outs.Unlock()
+	f.out += n
+	f.mostOut = max(f.mostOut, f.out)
+}
+
 // Stop ends the fleet.
 func (f *Fleet) Stop() {
 	for _, p := range append(f.Routers, f.Servers...) {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -30,6 +30,7 @@
 	MemoryKB float64 // of the interpreter
 	ProcMB   float64 // of the service
 	Sockets  int
+	Mgmt     string // where operators call; empty: anywhere
 	Tenants  string // the settings' tenants, as JSON; empty: none
 }
 
@@ -38,11 +39,15 @@
 	class := func(name string, worth int, effect string) string {
 		return fmt.Sprintf(`{"name":%q,"target":1800000,"deadline":4400000,"worth":%d,"late_worth":0,%s}`, name, worth, effect)
 	}
+	mgmt := s.Mgmt
+	if mgmt == "" {
+		mgmt = "127.0.0.1:0"
+	}
 	tenants := ""
 	if s.Tenants != "" {
 		tenants = `,"over_share_worth":0.1,"tenants":` + s.Tenants
 	}
-	return fmt.Sprintf(`{"name":"lab","listen":"127.0.0.1:0","mgmt":"127.0.0.1:0","vm":%q,"stop_ms":3000,
+	return fmt.Sprintf(`{"name":"lab","listen":"127.0.0.1:0","mgmt":%q,"vm":%q,"stop_ms":3000,
  "limits":{"cores":1,"memory_mb":%g,"sockets":%d},"scgi":{"listen":"127.0.0.1:0","deadline_ms":4400},
  "settings":{"classes":[%s,%s,%s],
   "family_info":{"below":"none","callers":3,"cpus":%d,"gauges":["core_use","on_cores","heap_share","links"],
@@ -50,7 +55,7 @@
   "limits":{"max_retry_after":1000000,"retry_after":true},
   "rules":{"cold_from":1,"drain_grace":2000000,"fall_multiple":8,"overload_for":3000000,"warm_within":0},
   "scoring_mix":{"whole":1,"worst_class":0,"worst_tenant":0,"worst_window":0},"servers":1,"tier":0%s}}`,
-		vm, s.ProcMB, s.Sockets, class("lestvica", 1, `"effect":"pure"`), class("krog", 2, `"effect":"pure"`),
+		mgmt, vm, s.ProcMB, s.Sockets, class("lestvica", 1, `"effect":"pure"`), class("krog", 2, `"effect":"pure"`),
 		class("oddaja", 3, `"effect":"token","memory_span":13170000`), s.Cores, s.MemoryKB, tenants)
 }
 
--- /dev/null
+++ b/internal/lab/owner.go
@@ -0,0 +1,930 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"silverpath/internal/cells"
+	"silverpath/internal/duties"
+	"silverpath/internal/fleet"
+	"silverpath/internal/group"
+	"silverpath/internal/harness"
+	"silverpath/internal/lease"
+	"silverpath/internal/quorum/member"
+	"silverpath/internal/settings"
+	"silverpath/internal/standin"
+	"silverpath/internal/standin/faults"
+)
+
+// asMember makes the lab's own program that of members, with a disk that stalls while a file says so. It is for what the
+// program itself has no way to be slow at.
+const asMember = "SILVERPATH_LAB"
+
+// RunMember runs a member where the environment asks for one, and reports whether it did.
+func RunMember() bool {
+	if os.Getenv(asMember) == "" {
+		return false
+	}
+	if file := os.Getenv("SILVERPATH_DISK"); file != "" {
+		member.Fault = func(string) error {
+			if text, err := os.ReadFile(file); err == nil {
+				if d, err := time.ParseDuration(string(text)); err == nil {
+					time.Sleep(d)
+				}
+			}
+			return nil
+		}
+	}
+	cmd := member.Command()
+	cmd.SetArgs(append([]string{"member"}, os.Args[2:]...))
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	return true
+}
+
+// starter starts the built program.
+func starter(bin string) harness.Starter {
+	return func(args []string, env ...string) (*harness.Process, error) {
+		cmd := exec.Command(bin, args...)
+		cmd.Env = append(append(os.Environ(), "LB_CONFIG="), env...)
+		return harness.Start(cmd)
+	}
+}
+
+// slowStarter starts members of the lab's own program, whose disks can stall.
+func slowStarter() harness.Starter {
+	return func(args []string, env ...string) (*harness.Process, error) {
+		exe, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		return starter(exe)(args, append(env, asMember+"=1")...)
+	}
+}
+
+var ownerTerms = lease.Terms{TTL: 600 * time.Millisecond, Drift: 0.05}
+
+// Owner measures the ownership of the fleet's work.
+func Owner(b *testing.B) {
+	bin, err := buildAll(b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("simulated", simulated)
+	b.Run("schedules", func(b *testing.B) { schedules(b, bin) })
+	b.Run("operators", func(b *testing.B) { twoOperators(b, bin) })
+	b.Run("gap", func(b *testing.B) { gaps(b, bin) })
+	b.Run("commits", func(b *testing.B) { commits(b) })
+	b.Run("roll", func(b *testing.B) { rolls(b, bin) })
+	b.Run("down", func(b *testing.B) { groupDown(b, bin) })
+}
+
+// buildAll builds the program and that of members beside it.
+func buildAll(dir string) (string, error) {
+	out, err := exec.Command("go", "build", "-o", dir+"/", "silverpath/cmd/...").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("building: %w\n%s", err, out)
+	}
+	return filepath.Join(dir, "silverpath"), nil
+}
+
+func number(name string, def int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return def
+}
+
+func simulated(b *testing.B) {
+	n := uint64(number("SILVERPATH_SIMULATED", 100_000))
+	const parts = 4
+	var wg sync.WaitGroup
+	var finished, handed atomic.Int64
+	began := time.Now()
+	for k := range uint64(parts) {
+		wg.Go(func() {
+			f, h, err := SimOwners(1+k*n/parts, n/parts, nil)
+			finished.Add(int64(f))
+			handed.Add(int64(h))
+			if err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	fmt.Printf("\nsimulated: %d schedules in %v, %d rolls and moves finished, %d changes of owner\n", n, time.Since(began).Round(time.Second), finished.Load(), handed.Load())
+}
+
+// ---- Schedules of faults over real processes ----
+
+// rig is a group and servers that take its orders.
+type rig struct {
+	g       *harness.Group
+	dir     string // of the map
+	servers []*Process
+	ways    []*faults.Between
+	close   []func()
+	bin     string
+	site    Site
+	homes   []string
+	vms     []*standin.Interpreter
+}
+
+func (r *rig) Close() {
+	for _, c := range slices.Backward(r.close) {
+		c()
+	}
+}
+
+func newRig(bin, home string, n int, sets lease.Terms) (r *rig, err error) {
+	r = &rig{dir: filepath.Join(home, "map"), bin: bin, site: Site{Cores: 8, MemoryKB: 65536, ProcMB: 64, Sockets: 128}}
+	if err = os.MkdirAll(r.dir, 0o755); err != nil {
+		return r, err
+	}
+	r.g, err = harness.NewGroup(home, 3, sets, 20*time.Millisecond, starter(bin))
+	r.close = append(r.close, r.g.Close)
+	if err != nil {
+		return r, err
+	}
+	m := ownerMap()
+	for i := range n {
+		vm, err := standin.Listen(standin.Config{Listen: "127.0.0.1:0", Cores: 8, Shape: standin.Shape{Knee: 8, Speed: 1}, RunFactor: 1, Seed: uint64(i + 1)})
+		if err != nil {
+			return r, err
+		}
+		r.close = append(r.close, vm.Close)
+		r.vms, r.homes = append(r.vms, vm), append(r.homes, filepath.Join(home, fmt.Sprint("s", i)))
+		r.servers = append(r.servers, nil)
+		if err := r.start(i); err != nil {
+			return r, err
+		}
+		way, err := faults.Listen(r.servers[i].Mgmt, false, uint64(i))
+		if err != nil {
+			return r, err
+		}
+		r.close = append(r.close, way.Close, func() { r.servers[i].Kill() })
+		r.ways = append(r.ways, way)
+		m.Servers = append(m.Servers, cells.Server{Name: fmt.Sprint("s", i), Addr: r.servers[i].Platform, Mgmt: way.Addr(), Cell: string(rune('a' + i%2)), Weight: 1})
+	}
+	return r, fleet.Series{Dir: r.dir}.Put(1, settings.FormatCells(m))
+}
+
+func ownerMap() *cells.Map {
+	m := &cells.Map{Version: 1, Window: time.Second, Skew: 50 * time.Millisecond, Lease: time.Second, Patient: time.Second,
+		Cells: []cells.Cell{{Name: "a", Capacity: 1e6}, {Name: "b", Capacity: 1e6}}}
+	for i := range 4096 {
+		m.Tenants = append(m.Tenants, cells.Tenant{Name: fmt.Sprint("t", i), Rate: 1, Homes: []cells.Home{{Cell: "a"}}})
+	}
+	m.Tenants = m.Tenants[:64]
+	return m
+}
+
+func (r *rig) start(i int) error {
+	if err := os.MkdirAll(r.homes[i], 0o700); err != nil {
+		return err
+	}
+	list, _ := json.Marshal(r.g.Client.Addrs)
+	p, err := Start(r.bin, r.homes[i], r.site, r.vms[i].Addr(), fmt.Sprintf(`{"cell":true,"orders":{"state":%q,"group":"test","members":%s}}`,
+		filepath.Join(r.homes[i], "orders"), list))
+	if err == nil {
+		r.servers[i] = p
+		if i < len(r.ways) {
+			r.ways[i].To(p.Mgmt)
+		}
+	}
+	return err
+}
+
+// outcome is what a schedule came to.
+type outcome struct {
+	finished, handed, refused, mostOut int
+	broken                             []string
+	given                              []string // notes of what was given up
+}
+
+var (
+	phaseLine = regexp.MustCompile(`(?m)^(\S+) phase (\w+)$`)
+	orderLine = regexp.MustCompile(`(?m)^(\S+) orders: (\w+) of conductor, epoch (\d+)\.(\d+), step (\d+): (.*)$`)
+)
+
+// schedule plays one: two owners, a roll of the servers and two moves, and for some seconds faults of every kind between
+// them. Then all is mended, and everything has to come to its end.
+func (r *rig) schedule(seed uint64) (o outcome) {
+	rng := rand.New(rand.NewPCG(seed, 500))
+	broke := func(format string, args ...any) {
+		o.broken = append(o.broken, fmt.Sprintf("seed %d: ", seed)+fmt.Sprintf(format, args...))
+	}
+	marks := make([]int, len(r.servers))
+	for i, p := range r.servers {
+		marks[i] = len(p.Log())
+	}
+	before := slices.Clone(r.servers)
+	head, _, err := fleet.Series{Dir: r.dir}.Head()
+	if err != nil {
+		broke("%v", err)
+		return o
+	}
+	var owners []*harness.Process
+	both := []string{duties.MapKeeper, duties.Conducts}
+	own := func() {
+		p, err := r.g.Owner(fmt.Sprint("o", len(owners)), r.dir, both, nil, nil)
+		if err != nil {
+			broke("%v", err)
+			return
+		}
+		owners = append(owners, p)
+	}
+	own()
+	own()
+	defer func() {
+		for _, p := range owners {
+			o.handed += strings.Count(p.Log(), "event=duty.owned")
+			o.refused += strings.Count(p.Log(), "event=duty.refused")
+			p.Kill()
+		}
+	}()
+	roll, moves := fmt.Sprint("r", seed), []string{fmt.Sprint("m", seed, "a"), fmt.Sprint("m", seed, "b")}
+	fail := func(err error) bool {
+		if err != nil {
+			broke("%v", err)
+		}
+		return err != nil
+	}
+	if fail(r.g.Submit(duties.Conducts, roll, duties.KindRoll, duties.Roll{CellMost: 1, AllMost: 2, DwellMS: 60, BackMS: 8000})) {
+		return o
+	}
+	t := int(seed) % 31 * 2
+	for k, id := range moves {
+		to := "b"
+		tenant := head.Tenants[t+k]
+		if tenant.Homes[len(tenant.Homes)-1].Cell == "b" {
+			to = "a"
+		}
+		if fail(r.g.Submit(duties.MapKeeper, id, duties.KindMove, duties.Move{Tenant: tenant.Name, To: to})) {
+			return o
+		}
+	}
+	var held []int
+	for end := time.Now().Add(1800 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Duration(rng.IntN(180)) * time.Millisecond) {
+		x, q := rng.IntN(len(owners)), rng.IntN(3)
+		switch rng.IntN(10) {
+		case 0, 1:
+			owners[x].Freeze()
+		case 2:
+			owners[x].Wake()
+		case 3:
+			owners[x].Kill()
+			own()
+		case 4:
+			r.g.Members[q].Freeze()
+			time.AfterFunc(time.Duration(rng.IntN(1500))*time.Millisecond, r.g.Members[q].Wake)
+		case 5:
+			r.g.Members[q].Kill()
+			fail(r.g.Start(q))
+		case 6:
+			r.g.Ways[q].Set(faults.Way(rng.IntN(2)), faults.Fate{Lost: true})
+		case 7:
+			r.g.Ways[q].Set(faults.There, faults.Fate{Delay: 30 * time.Millisecond, Twice: 0.2, Swap: 0.2})
+		case 8:
+			i := rng.IntN(len(r.ways))
+			r.ways[i].Set(faults.There, faults.Fate{Held: true})
+			held = append(held, i)
+		case 9:
+			if i := rng.IntN(len(r.servers)); rng.IntN(3) == 0 {
+				r.servers[i].Kill()
+				before[i], marks[i] = nil, 0
+				if rng.IntN(2) == 0 {
+					os.Remove(filepath.Join(r.homes[i], "orders"))
+				}
+				fail(r.start(i))
+			}
+		}
+	}
+	var copies [][]byte
+	for _, w := range r.ways {
+		calls := w.Calls()
+		if len(calls) > 0 {
+			copies = append(copies, calls[rng.IntN(len(calls))])
+		} else {
+			copies = append(copies, nil)
+		}
+	}
+	for _, w := range r.g.Ways {
+		w.Set(faults.There, faults.Fate{})
+		w.Set(faults.Back, faults.Fate{})
+	}
+	for _, m := range r.g.Members {
+		m.Wake()
+	}
+	for _, i := range held {
+		r.ways[i].Set(faults.There, faults.Fate{})
+	}
+	for _, p := range owners {
+		p.Wake()
+	}
+	for i, c := range copies { // what a network had kept
+		if c != nil && strings.HasPrefix(string(c), "POST") {
+			r.ways[i].Again(c)
+		}
+	}
+	for _, id := range moves {
+		if it, err := r.g.Over(duties.MapKeeper, id, 20*time.Second); fail(err) {
+			return o
+		} else if it.State == duties.Done {
+			o.finished++
+		} else {
+			o.given = append(o.given, it.Note)
+		}
+	}
+	it, err := r.g.Over(duties.Conducts, roll, 60*time.Second)
+	if fail(err) {
+		return o
+	}
+	if it.State == duties.Done {
+		o.finished++
+	} else {
+		o.given = append(o.given, it.Note)
+	}
+	for i, c := range copies {
+		if c != nil && strings.HasPrefix(string(c), "POST") {
+			r.ways[i].Again(c)
+		}
+	}
+	r.judge(&o, broke, marks, before, it)
+	after, _, err := fleet.Series{Dir: r.dir}.Head()
+	if fail(err) {
+		return o
+	}
+	for k, id := range moves {
+		mv, _ := r.g.View()
+		did := mv.Journals[duties.MapKeeper].Item(id).State == duties.Done
+		grown := len(after.Tenants[t+k].Homes) - len(head.Tenants[t+k].Homes)
+		if did && grown != 1 || !did && grown != 0 {
+			broke("%s: %v, and %d homes more", id, did, grown)
+		}
+	}
+	return o
+}
+
+// judge reads the servers' own records: when each was out, and by whose orders.
+func (r *rig) judge(o *outcome, broke func(string, ...any), marks []int, before []*Process, it duties.Item) {
+	type event struct {
+		at     string
+		server int
+		what   string
+		epoch  uint64
+	}
+	var list []event
+	for i, p := range r.servers {
+		log := p.Log()
+		if before[i] == p {
+			log = log[marks[i]:]
+		}
+		for _, m := range phaseLine.FindAllStringSubmatch(log, -1) {
+			list = append(list, event{m[1], i, m[2], 0})
+		}
+		for _, m := range orderLine.FindAllStringSubmatch(log, -1) {
+			g, _ := strconv.ParseUint(m[3], 10, 64)
+			n, _ := strconv.ParseUint(m[4], 10, 64)
+			if strings.Contains(m[6], "before") || strings.Contains(m[6], "was not") {
+				continue // it changed nothing
+			}
+			list = append(list, event{m[1], i, "order", g<<32 | n})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b event) int { return strings.Compare(a.at, b.at) })
+	out := map[int]bool{}
+	var newest uint64
+	for _, e := range list {
+		switch e.what {
+		case "order":
+			if e.epoch < newest {
+				broke("an act of epoch %d at s%d after one of %d", e.epoch, e.server, newest)
+			}
+			newest = max(newest, e.epoch)
+		case "evacuated":
+			out[e.server] = true
+		case "serving":
+			delete(out, e.server)
+		}
+		o.mostOut = max(o.mostOut, len(out))
+		cell := [2]int{}
+		for s := range out {
+			cell[s%2]++
+		}
+		if len(out) > 2 || cell[0] > 1 || cell[1] > 1 {
+			broke("%d out at %s, by cell %v", len(out), e.at, cell)
+		}
+	}
+	if it.State == duties.Done && len(out) > 0 {
+		broke("after the roll %v are out", out)
+	}
+}
+
+func schedules(b *testing.B, bin string) {
+	n, workers := number("SILVERPATH_SCHEDULES", 500), number("SILVERPATH_WORKERS", 4)
+	var mu sync.Mutex
+	var all outcome
+	var wg sync.WaitGroup
+	began := time.Now()
+	for w := range workers {
+		wg.Go(func() {
+			r, err := newRig(bin, b.TempDir(), 6, ownerTerms)
+			defer r.Close()
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			for seed := w; seed < n; seed += workers {
+				o := r.schedule(uint64(seed + 1))
+				mu.Lock()
+				all.finished, all.handed, all.refused = all.finished+o.finished, all.handed+o.handed, all.refused+o.refused
+				all.mostOut = max(all.mostOut, o.mostOut)
+				all.broken = append(all.broken, o.broken...)
+				all.given = append(all.given, o.given...)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	for _, s := range all.broken {
+		b.Error(s)
+	}
+	why := map[string]int{}
+	for _, n := range all.given {
+		why[regexp.MustCompile(`[0-9]+`).ReplaceAllString(n, "N")]++
+	}
+	fmt.Printf("\ngiven up, by note: %v", why)
+	fmt.Printf("\nschedules: %d over real processes in %v: %d of %d rolls and moves finished, %d ownerships, %d writes refused as stale, at most %d out, broken %d\n",
+		n, time.Since(began).Round(time.Second), all.finished, 3*n, all.handed, all.refused, all.mostOut, len(all.broken))
+}
+
+// ---- Two operators at once ----
+
+func twoOperators(b *testing.B, bin string) {
+	fmt.Println("\n| build | rounds | both said yes | changes lost | one was told no |")
+	fmt.Println("|---|---|---|---|---|")
+	variants := []struct{ name, bin string }{{"this, a file", bin}}
+	if old := os.Getenv(baseline); old != "" {
+		variants = append([]struct{ name, bin string }{{"baseline, a file", old}}, variants...)
+	}
+	const rounds = 200
+	count := func(name string, move func(tenant string) error, homes func(tenant int) int) {
+		yes, lost, no := 0, 0, 0
+		for n := range rounds {
+			var errs [2]error
+			var wg sync.WaitGroup
+			for k := range errs {
+				wg.Go(func() { errs[k] = move(fmt.Sprint("t", 2*n+k)) })
+			}
+			wg.Wait()
+			for k, err := range errs {
+				if err == nil && homes(2*n+k) != 2 {
+					lost++
+				}
+			}
+			if errs[0] == nil && errs[1] == nil {
+				yes++
+			} else {
+				no++
+			}
+		}
+		fmt.Printf("| %s | %d | %d | %d | %d |\n", name, rounds, yes, lost, no)
+	}
+	m := ownerMap()
+	m.Tenants = m.Tenants[:2*rounds]
+	for i, c := range []string{"a", "b"} {
+		m.Servers = append(m.Servers, cells.Server{Name: "s" + c, Addr: fmt.Sprint("127.0.0.1:", i+1), Cell: c, Weight: 1})
+	}
+	for _, v := range variants {
+		file := filepath.Join(b.TempDir(), "cells.json")
+		if err := os.WriteFile(file, settings.FormatCells(m), 0o644); err != nil {
+			b.Fatal(err)
+		}
+		count(v.name, func(tenant string) error {
+			return exec.Command(v.bin, "cells", "move", "--map", file, "--tenant", tenant, "--to", "b").Run()
+		}, func(t int) int {
+			m, err := fleet.Read(file)
+			if err != nil {
+				b.Fatal(err)
+			}
+			return len(m.Tenants[t].Homes)
+		})
+	}
+	r, err := newRig(bin, b.TempDir(), 0, ownerTerms)
+	defer r.Close()
+	if err != nil {
+		b.Logf("%v", err) // a map without servers is none: the one with them follows
+	}
+	dir := b.TempDir()
+	if err := (fleet.Series{Dir: dir}).Put(1, settings.FormatCells(m)); err != nil {
+		b.Fatal(err)
+	}
+	p, err := r.g.Owner("o", dir, []string{duties.MapKeeper}, nil, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer p.Kill()
+	count("this, by the keeper", func(tenant string) error {
+		return exec.Command(bin, "cells", "move", "--group", "test", "--members", strings.Join(r.g.Client.Addrs, ","), "--tenant", tenant, "--to", "b").Run()
+	}, func(t int) int {
+		m, _, err := fleet.Series{Dir: dir}.Head()
+		if err != nil {
+			b.Fatal(err)
+		}
+		return len(m.Tenants[t].Homes)
+	})
+}
+
+// ---- Time without an owner ----
+
+func logTime(line string) time.Duration {
+	t, err := time.Parse("15:04:05.000000", line[:15])
+	if err != nil {
+		return 0
+	}
+	return t.Sub(t.Truncate(24 * time.Hour))
+}
+
+func gaps(b *testing.B, bin string) {
+	fmt.Println("\n| lease ms | what | rounds | p50 ms | p99 ms | two at once | messages/s at rest | syncs/s at rest | CPU of the leader, of an owner |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+	for _, ttl := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second} {
+		r, err := newRig(bin, b.TempDir(), 0, lease.Terms{TTL: ttl, Drift: 0.05})
+		_ = err
+		dir := r.dir
+		rest := restCost(b, r, dir)
+		for _, what := range []string{"SIGKILL", "SIGSTOP", "cut"} {
+			rounds := number("SILVERPATH_GAPS", map[time.Duration]int{300 * time.Millisecond: 20, time.Second: 12, 3 * time.Second: 6}[ttl])
+			h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+			twice := 0
+			for n := range rounds {
+				gap, two, err := oneGap(r, dir, what, n)
+				if err != nil {
+					b.Error(err)
+					continue
+				}
+				h.RecordValue(gap.Microseconds())
+				if two {
+					twice++
+				}
+			}
+			fmt.Printf("| %d | %s | %d | %d | %d | %d | %s |\n", ttl.Milliseconds(), what, rounds, At(h, 50).Milliseconds(), At(h, 99).Milliseconds(), twice, rest)
+			rest = "| |"
+		}
+		r.Close()
+	}
+}
+
+// restCost is what the group says and writes while one owner holds all duties and nothing happens.
+func restCost(b *testing.B, r *rig, dir string) string {
+	p, err := r.g.Owner("rest", dir, duties.Names, nil, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer p.Kill()
+	if _, err := p.Await(10*time.Second, 0, "duty.owned"); err != nil {
+		b.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	lead, err := r.g.Leader()
+	if err != nil {
+		b.Fatal(err)
+	}
+	const span = 5 * time.Second
+	count := func() (messages, syncs int) {
+		for _, m := range r.g.Members {
+			from := m.Lines()
+			m.Signal(syscall.SIGUSR1)
+			line, err := m.Await(2*time.Second, from, "counter group.messages")
+			if err == nil {
+				n, _ := strconv.Atoi(line[strings.LastIndexByte(line, ' ')+1:])
+				messages += n
+			}
+		}
+		for _, a := range r.g.Client.Addrs {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			if s, err := r.g.Client.StatusOf(ctx, a); err == nil {
+				syncs += int(s.Syncs)
+			}
+			cancel()
+		}
+		return messages, syncs
+	}
+	m0, s0 := count()
+	c0, o0 := r.g.Members[lead].CPU(), p.CPU()
+	time.Sleep(span)
+	c1, o1 := r.g.Members[lead].CPU(), p.CPU()
+	m1, s1 := count()
+	per := func(d time.Duration) float64 { return 100 * d.Seconds() / span.Seconds() }
+	return fmt.Sprintf("%.0f | %.1f | %.1f%%, %.1f%%", float64(m1-m0)/span.Seconds(), float64(s1-s0)/span.Seconds(), per(c1-c0), per(o1-o0))
+}
+
+func oneGap(r *rig, dir, what string, n int) (gap time.Duration, two bool, err error) {
+	var ways []*faults.Between
+	var addrs []string
+	for _, a := range r.g.Client.Addrs {
+		w, err := faults.Listen(a, true, uint64(n))
+		if err != nil {
+			return 0, false, err
+		}
+		defer w.Close()
+		ways, addrs = append(ways, w), append(addrs, w.Addr())
+	}
+	keeper := []string{duties.MapKeeper}
+	one, err := r.g.Owner(fmt.Sprint("one", n), dir, keeper, addrs, nil)
+	if err != nil {
+		return 0, false, err
+	}
+	defer one.Kill()
+	if _, err := one.Await(20*time.Second, 0, "duty.owned"); err != nil {
+		return 0, false, err
+	}
+	next, err := r.g.Owner(fmt.Sprint("two", n), dir, keeper, nil, nil)
+	if err != nil {
+		return 0, false, err
+	}
+	defer next.Kill()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if v, err := r.g.View(); err == nil && len(v.Table.Duties[duties.MapKeeper].Queue) == 1 {
+			break
+		}
+	}
+	time.Sleep(time.Duration(n*37%200) * time.Millisecond)
+	began := time.Now().UTC()
+	switch what {
+	case "SIGKILL":
+		one.Kill()
+	case "SIGSTOP":
+		one.Freeze()
+	case "cut":
+		for _, w := range ways {
+			w.Cut(true)
+		}
+	}
+	line, err := next.Await(30*time.Second, 0, "duty.owned")
+	if err != nil {
+		return 0, false, err
+	}
+	at := logTime(line)
+	gap = at - began.Sub(began.Truncate(24*time.Hour))
+	if what == "cut" {
+		lost, err := one.Await(10*time.Second, 0, "duty.lost")
+		two = err != nil || logTime(lost) > at
+	}
+	one.Wake()
+	next.Leave()
+	return gap, two, nil
+}
+
+// ---- Commits ----
+
+func commits(b *testing.B) {
+	fmt.Println("\n| members | what | at once | commits/s | p50 ms | p99 ms |")
+	fmt.Println("|---|---|---|---|---|---|")
+	for _, c := range []struct {
+		n, lanes int
+		what     string
+	}{{3, 1, "all well"}, {3, 32, "all well"}, {3, 32, "one dead"}, {3, 32, "one disk 20 ms a sync"}, {5, 1, "all well"}, {5, 32, "all well"}, {5, 32, "two dead"}} {
+		g, err := harness.NewGroup(b.TempDir(), c.n, lease.Terms{TTL: 3 * time.Second, Drift: 0.05}, 50*time.Millisecond, slowStarter())
+		if err != nil {
+			b.Fatal(err)
+		}
+		lead, err := g.Leader()
+		if err != nil {
+			b.Fatal(err)
+		}
+		switch c.what {
+		case "one dead", "two dead":
+			g.Members[(lead+1)%c.n].Kill()
+			if c.what == "two dead" {
+				g.Members[(lead+2)%c.n].Kill()
+			}
+		case "one disk 20 ms a sync":
+			g.Fault((lead+1)%c.n, "20ms")
+		}
+		h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		const span = 4 * time.Second
+		end := time.Now().Add(span)
+		for k := range c.lanes {
+			wg.Go(func() {
+				for n := 0; time.Now().Before(end); n++ {
+					began := time.Now()
+					r, err := g.Do(group.Command{Ask: &lease.Ask{Op: lease.Pause, Duty: duties.Watches, Why: fmt.Sprint(k, n)}})
+					if err != nil || r.Error != "" {
+						b.Error(err, r.Error)
+						return
+					}
+					mu.Lock()
+					h.RecordValue(time.Since(began).Microseconds())
+					mu.Unlock()
+				}
+			})
+		}
+		wg.Wait()
+		ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		fmt.Printf("| %d | %s | %d | %.0f | %.1f | %.1f |\n", c.n, c.what, c.lanes, float64(h.TotalCount())/span.Seconds(), ms(50), ms(99))
+		g.Close()
+	}
+}
+
+// ---- A rolling restart under load ----
+
+func rolls(b *testing.B, bin string) {
+	fmt.Println("\n| how | took | worth | others' lowest second | out at once |")
+	fmt.Println("|---|---|---|---|---|")
+	for _, how := range []string{"none", "all at once", "by hand, one after the other", "the conductor, 3 in all and 1 in a cell"} {
+		if err := oneRoll(b, bin, how); err != nil {
+			b.Error(err)
+		}
+	}
+}
+
+func oneRoll(b *testing.B, bin, how string) error {
+	home := b.TempDir()
+	g, err := harness.NewGroup(home, 3, lease.Terms{TTL: time.Second, Drift: 0.05}, 50*time.Millisecond, starter(bin))
+	defer g.Close()
+	if err != nil {
+		return err
+	}
+	list, _ := json.Marshal(g.Client.Addrs)
+	names := []string{"a", "b", "c"}
+	f, err := NewFleetWith(bin, home, 12, 1, names, brandsIn(names, 0), func(dir string) string {
+		return fmt.Sprintf(`{"cell":true,"orders":{"state":%q,"group":"test","members":%s}}`, filepath.Join(dir, "orders"), list)
+	})
+	defer f.Stop()
+	if err != nil {
+		return err
+	}
+	const span = 45 * time.Second
+	var loads []TenantLoad
+	for _, t := range brands {
+		loads = append(loads, TenantLoad{Tenant: t, Rate: 0.8 * 12 * ServerRate() / float64(len(brands)), For: span})
+	}
+	// A restart takes a server 1.5 s from being out to being back, cold.
+	restart := func(n int) error {
+		time.Sleep(500 * time.Millisecond)
+		return f.Restart(n, time.Second)
+	}
+	done := make(chan time.Duration, 1)
+	go func() {
+		time.Sleep(3 * time.Second)
+		began := time.Now()
+		switch how {
+		case "all at once":
+			var wg sync.WaitGroup
+			for n := range f.Servers {
+				wg.Go(func() { restart(n) })
+			}
+			wg.Wait()
+		case "by hand, one after the other":
+			for n := range f.Servers {
+				f.Servers[n].Call("POST /api/evacuate")
+				if restart(n) != nil {
+					break
+				}
+				for f.Servers[n].Call("GET /api/ready") != 200 {
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+		case "none":
+		default:
+			f.conduct(g, home)
+		}
+		done <- time.Since(began)
+	}()
+	res, err := f.Run(f.Routers, loads, false, 18)
+	if err != nil {
+		return err
+	}
+	asked, worth, lowest := 0.0, 0.0, 1.0
+	for _, r := range res {
+		asked, worth = asked+r.Asked, worth+r.Worth
+		lowest = min(lowest, r.Share())
+	}
+	took := time.Duration(0)
+	select {
+	case took = <-done:
+	case <-time.After(time.Second):
+		took = span
+	}
+	fmt.Printf("| %s | %.1f s | %.4f | %.4f | %d |\n", how, took.Seconds(), worth/asked, lowest, f.mostOut)
+	return nil
+}
+
+// conduct has the conductor roll the fleet, and starts each server anew while it is out.
+func (f *Fleet) conduct(g *harness.Group, home string) error {
+	dir := filepath.Join(home, "series")
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	m := *f.Map
+	m.Servers = slices.Clone(m.Servers)
+	for n := range m.Servers {
+		m.Servers[n].Mgmt = f.Servers[n].Mgmt
+	}
+	if err := (fleet.Series{Dir: dir}).Put(1, settings.FormatCells(&m)); err != nil {
+		return err
+	}
+	o, err := g.Owner("o", dir, []string{duties.Conducts}, nil, nil)
+	if err != nil {
+		return err
+	}
+	defer o.Kill()
+	if err := g.Submit(duties.Conducts, "r", duties.KindRoll, duties.Roll{CellMost: 1, AllMost: 3, DwellMS: 2500, BackMS: 10000}); err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for n := range f.Servers {
+		wg.Go(func() {
+			p := f.Servers[n]
+			for {
+				if _, err := p.Await(100*time.Millisecond, 0, "phase evacuated"); err == nil {
+					f.enter(1)
+					time.Sleep(500 * time.Millisecond)
+					f.restartAt(n, time.Second)
+					f.enter(-1)
+					return
+				}
+				select {
+				case <-stop:
+					return
+				default:
+				}
+			}
+		})
+	}
+	_, err = g.Over(duties.Conducts, "r", time.Minute)
+	close(stop)
+	wg.Wait()
+	return err
+}
+
+// ---- The group away ----
+
+func groupDown(b *testing.B, bin string) {
+	fmt.Println("\n| the group | asked | served in time | p50 ms | p99 ms |")
+	fmt.Println("|---|---|---|---|---|")
+	for _, down := range []bool{false, true} {
+		home := b.TempDir()
+		g, err := harness.NewGroup(home, 3, lease.Terms{TTL: time.Second, Drift: 0.05}, 50*time.Millisecond, starter(bin))
+		if err != nil {
+			b.Fatal(err)
+		}
+		list, _ := json.Marshal(g.Client.Addrs)
+		names := []string{"a", "b"}
+		f, err := NewFleetWith(bin, home, 4, 1, names, brandsIn(names, 0), func(dir string) string {
+			return fmt.Sprintf(`{"cell":true,"orders":{"state":%q,"group":"test","members":%s}}`, filepath.Join(dir, "orders"), list)
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if down {
+			for _, m := range g.Members {
+				m.Kill()
+			}
+		}
+		var loads []TenantLoad
+		for _, t := range brands {
+			loads = append(loads, TenantLoad{Tenant: t, Rate: 0.5 * 4 * ServerRate() / float64(len(brands)), For: 20 * time.Second})
+		}
+		res, err := f.Run(f.Routers, loads, false, 3)
+		if err != nil {
+			b.Fatal(err)
+		}
+		sent, served := 0, 0
+		h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+		for _, r := range res {
+			sent, served = sent+r.Sent, served+r.Served
+			h.Merge(r.Times)
+		}
+		name := "there"
+		if down {
+			name = "killed, all members"
+		}
+		fmt.Printf("| %s | %d | %d | %.1f | %.1f |\n", name, sent, served, float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000)
+		f.Stop()
+		g.Close()
+	}
+}
--- a/internal/lab/ownersim.go
+++ b/internal/lab/ownersim.go
@@ -32,8 +32,8 @@
 	orders   []simOrder
 	newest   lease.Epoch // of an order that took effect
 	edits    lease.Epoch // of a map that was published
-	NoFence  bool // servers take whatever comes, to see that it is found
-	NoPlaces bool // a version of the map is written over
+	NoFence  bool        // servers take whatever comes, to see that it is found
+	NoPlaces bool        // a version of the map is written over
 	latest   *cells.Map
 	raw      []byte
 	Broken   []string
