--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -765,3 +765,67 @@
 		t.Errorf("%d items", n)
 	}
 }
+
+// The watcher takes a server out of the map that all routers have lost, through the keeper; not one that only one router
+// can't reach, and never one whose cell would be left with too few.
+func TestWatcherOut(t *testing.T) {
+	g := newGroup(t, 3)
+	var servers []*process
+	var ways []*faults.Between
+	m := &cells.Map{Version: 1, Window: time.Second, Skew: 50 * time.Millisecond, Lease: time.Second, Patient: time.Second,
+		Cells:   []cells.Cell{{Name: "a", Capacity: 1000}, {Name: "b", Capacity: 1000}},
+		Tenants: []cells.Tenant{{Name: "brand", Rate: 10, Homes: []cells.Home{{Cell: "a"}}}}}
+	for i, cell := range []string{"a", "a", "a", "b"} {
+		vm, err := standin.Listen(standin.Config{Listen: "127.0.0.1:0", Cores: 8, Shape: standin.Shape{Knee: 8, Speed: 1}, RunFactor: 1, Seed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(vm.Close)
+		name := fmt.Sprint("s", i)
+		p := spawn(t, "serve", "--config", siteFile(t, name, vm.Addr()), "--edge", write(t, "cell.json", `{"cell":true}`))
+		way, err := faults.Listen(p.addr, true, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(way.Close)
+		servers, ways = append(servers, p), append(ways, way)
+		m.Servers = append(m.Servers, cells.Server{Name: name, Addr: way.Addr(), Cell: cell, Weight: 1})
+	}
+	dir := t.TempDir()
+	if err := (fleet.Series{Dir: dir}).Put(1, settings.FormatCells(m)); err != nil {
+		t.Fatal(err)
+	}
+	own := strings.ReplaceAll(string(settings.FormatCells(m)), ways[1].Addr(), freeAddr(t)) // the third router can't reach s1
+	var routers []string
+	for i, file := range []string{dir, dir, write(t, "own.json", own)} {
+		p := spawn(t, "route", "--config", siteFile(t, fmt.Sprint("r", i), ""), "--edge", write(t, "route.json",
+			fmt.Sprintf(`{"status":true,"fleet":{"map":%q,"probe_ms":100}}`, file)))
+		routers = append(routers, p.addr)
+	}
+	o := must[*harness.Process](t)(g.Owner("o", dir, []string{duties.MapKeeper, duties.Watches}, nil, routers))
+	t.Cleanup(o.Kill)
+	if _, err := o.Await(20*time.Second, 0, "watcher.partly", "server=s1"); err != nil {
+		t.Fatal(err)
+	}
+	ways[0].Cut(true)
+	servers[0].Kill()
+	if _, err := o.Await(20*time.Second, 0, "watcher.dead", "server=s0"); err != nil {
+		t.Fatal(err)
+	}
+	if it := g.over(duties.MapKeeper, "gone-s0-1", 10*time.Second); it.State != duties.Done {
+		t.Errorf("%s: %s", it.State, it.Note)
+	}
+	ways[3].Cut(true)
+	servers[3].Kill()
+	if _, err := o.Await(20*time.Second, 0, "watcher.dead", "server=s3"); err != nil {
+		t.Fatal(err)
+	}
+	it := g.over(duties.MapKeeper, "gone-s3-2", 10*time.Second)
+	if it.State != duties.Failed || !strings.Contains(it.Note, "cell b would be left with 0 of 1 servers") {
+		t.Errorf("%s: %s", it.State, it.Note)
+	}
+	head, _, err := fleet.Series{Dir: dir}.Head()
+	if err != nil || head.Server("s0").Until == 0 || head.Server("s1").Until != 0 || head.Server("s3").Until != 0 {
+		t.Errorf("%+v, %v", head.Servers, err)
+	}
+}
