Candidates, a leader that owns and dies, and wall clocks an hour off, with processes

An owner whose wall clock differs from the group's leader by more than skew_ms would plan maps that routers refuse; it hands the keeper on and says why. duty list shows the age of an ownership; cells publish begins a series.

--- a/cmd/silverpath/cells.go
+++ b/cmd/silverpath/cells.go
@@ -143,10 +143,32 @@
 		}
 		return print(c.OutOrStdout(), showView(m), func(w *tabwriter.Writer) { showTable(w, m) })
 	}}
-	cmd.AddCommand(show, check, abort, move("plan", "Say what a move would do, or why it can't be made", false),
+	var folder string
+	publish := &cobra.Command{Use: "publish", Short: "Put a map's file into a folder of versions, as the first that the keeper goes on from", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			m, err := load()
+			if err != nil {
+				return err
+			}
+			series := fleet.Series{Dir: folder}
+			if err := os.MkdirAll(folder, 0o755); err != nil {
+				return err
+			}
+			head, _, err := series.Head()
+			if head != nil {
+				return fmt.Errorf("%s: has version %d: from here on the keeper changes it", folder, head.Version)
+			}
+			if err != nil {
+				return err
+			}
+			return series.Put(m.Version, settings.FormatCells(m))
+		}}
+	publish.Flags().StringVar(&folder, "to", "", "the folder")
+	publish.MarkFlagRequired("to")
+	cmd.AddCommand(show, check, abort, publish, move("plan", "Say what a move would do, or why it can't be made", false),
 		move("move", "Move a tenant to another cell", true))
 	cmd.RunE = func(*cobra.Command, []string) error {
-		return errors.New("cells: one of show, plan, move, abort, check")
+		return errors.New("cells: one of show, plan, move, abort, check, publish")
 	}
 	return cmd
 }
--- a/cmd/silverpath/duty.go
+++ b/cmd/silverpath/duty.go
@@ -63,7 +63,7 @@
 					return printJSON(c.OutOrStdout(), v)
 				}
 				w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
-				fmt.Fprintln(w, "DUTY\tOWNER\tEPOCH\tSTEP\tOPEN\tPAUSED\tWAITING")
+				fmt.Fprintln(w, "DUTY\tOWNER\tEPOCH\tAGE\tSTEP\tOPEN\tPAUSED\tWAITING")
 				for _, n := range duties.Names {
 					d, j, open := v.Table.Duties[n], v.Journals[n], 0
 					if d == nil {
@@ -74,7 +74,11 @@
 							open++
 						}
 					}
-					fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%d\t%s\t%s\n", n, d.Holder, d.Epoch, j.Step, open, d.Paused, strings.Join(d.Queue, " "))
+					age := ""
+					if d.Holder != "" && d.Since > 0 {
+						age = time.Since(time.UnixMilli(d.Since)).Round(time.Second).String()
+					}
+					fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%d\t%d\t%s\t%s\n", n, d.Holder, d.Epoch, age, j.Step, open, d.Paused, strings.Join(d.Queue, " "))
 				}
 				return w.Flush()
 			})
--- a/cmd/silverpath/fleet_test.go
+++ b/cmd/silverpath/fleet_test.go
@@ -299,7 +299,7 @@
 		{[]string{"check", "--after", "../../deploy/cells.json"}, 0, `tenant "krcmarski-kviz": to cell b at`},
 		{[]string{"abort", "--tenant", "krcmarski-kviz"}, 0, "version 3 written"},
 		{[]string{"check", "--after", "nothing.json"}, 1, "nothing.json"},
-		{[]string{"nonsense"}, 1, "one of show, plan, move, abort, check"},
+		{[]string{"nonsense"}, 1, "one of show, plan, move, abort, check, publish"},
 	} {
 		code, out, message := run(t, "", append([]string{"cells", "--map", file}, c.args...)...)
 		if code != c.code || !strings.Contains(out+message, c.want) || c.code != 0 && strings.Count(message, "\n") != 1 {
--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -50,6 +50,9 @@
 			}
 		}
 	}
+	if by, err := time.ParseDuration(os.Getenv("SILVERPATH_WALL")); err == nil {
+		owner.Wall = func() time.Time { return time.Now().Add(by) }
+	}
 	if rate, err := strconv.ParseFloat(os.Getenv("SILVERPATH_CLOCK"), 64); err == nil {
 		member.Clocks = rate
 	}
@@ -829,3 +832,114 @@
 		t.Errorf("%+v, %v", head.Servers, err)
 	}
 }
+
+// An owner whose wall clock is an hour off keeps its lease, which does not count by it, and plans no map by it: it hands the
+// duty on to one whose clock is right, and says why.
+func TestWallClock(t *testing.T) {
+	g := newGroup(t, 3)
+	dir := testMap(t)
+	for _, by := range []string{"1h", "-1h"} {
+		off := g.owner("off"+by, dir, []string{duties.MapKeeper, duties.Conducts}, nil, "SILVERPATH_WALL="+by)
+		if _, err := off.Await(10*time.Second, 0, "duty.owned", "keeper"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := off.Await(10*time.Second, 0, "duty.held_up", "the clock differs from the group's", "by 59m59"); err != nil {
+			t.Error(err)
+		}
+		right := g.owner("right"+by, dir, []string{duties.MapKeeper}, nil)
+		g.submit(duties.MapKeeper, "m"+by, duties.KindMove, duties.Move{Tenant: fmt.Sprint("t", len(by)), To: "b"})
+		if it := g.over(duties.MapKeeper, "m"+by, 15*time.Second); it.State != duties.Done {
+			t.Errorf("%s: %s", it.State, it.Note)
+		}
+		if strings.Contains(off.Log(), `duty.lost`) && strings.Contains(off.Log(), "duty=conductor epoch=0.0") {
+			t.Error("a wall clock ended a lease")
+		}
+		off.Kill()
+		right.Kill()
+	}
+}
+
+// Two candidates at once, a thousand rounds: each time one owns it, by an epoch of its own, and the other comes next.
+func TestCandidates(t *testing.T) {
+	g := newGroup(t, 3)
+	clients := []*quorum.Client{{Group: "test", Addrs: g.Client.Addrs}, {Group: "test", Addrs: g.Client.Addrs}}
+	last := lease.Epoch(0)
+	for n := range 1000 {
+		var got [2]lease.Duty
+		var wg sync.WaitGroup
+		for k, c := range clients {
+			wg.Go(func() {
+				r, err := c.Do(g.within(10*time.Second), group.Command{Ask: &lease.Ask{Op: lease.Acquire, Duty: duties.Watches, Who: fmt.Sprint("c", k, "-", n)}})
+				if err != nil || r.Duty == nil {
+					t.Error(err, r.Error)
+					return
+				}
+				got[k] = *r.Duty
+			})
+		}
+		wg.Wait()
+		if t.Failed() {
+			return
+		}
+		if got[0].Holder != got[1].Holder || got[0].Epoch != got[1].Epoch || got[0].Epoch <= last {
+			t.Fatalf("round %d: %+v, %+v", n, got[0], got[1])
+		}
+		first := got[0].Holder
+		r := g.do(group.Command{Ask: &lease.Ask{Op: lease.Release, Duty: duties.Watches, Who: first, Epoch: got[0].Epoch}})
+		if r.Error != "" || r.Duty.Holder == first || r.Duty.Holder == "" || r.Duty.Epoch != got[0].Epoch+1 {
+			t.Fatalf("round %d: %s, %+v", n, r.Error, r.Duty)
+		}
+		last = r.Duty.Epoch
+		g.do(group.Command{Ask: &lease.Ask{Op: lease.Release, Duty: duties.Watches, Who: r.Duty.Holder, Epoch: last}})
+	}
+	for _, c := range clients {
+		c.Close()
+	}
+}
+
+// The owner's own process leads the group, and dies with it: another one goes on where it stopped.
+func TestLeaderOwnerDies(t *testing.T) {
+	g := newGroup(t, 3)
+	dir := testMap(t)
+	list, _ := json.Marshal(g.Client.Addrs)
+	for i := range 3 { // each member owns duties too
+		g.Members[i].Kill()
+		file := write(t, "both.json", fmt.Sprintf(`{"name":"q%d","group":"test","members":%s,"member":{"listen":%q,"addr":%q,"dir":%q,"tick_ms":20},"owner":{"duties":["keeper"],"map":%q}}`,
+			i, list, g.Addrs[i], g.Ways[i].Addr(), g.Disk(i), dir))
+		g.Members[i] = begin(t, []string{"quorum", "--config", file})
+		if _, err := g.Members[i].Await(10*time.Second, 0, "group.listening"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	lead := g.awaitLeader()
+	holder := func() string {
+		if d := g.view().Table.Duties[duties.MapKeeper]; d != nil {
+			return d.Holder
+		}
+		return ""
+	}
+	await(t, "an owner", 10*time.Second, func() bool { return holder() != "" && len(g.view().Table.Duties[duties.MapKeeper].Queue) == 2 })
+	if me := fmt.Sprint("q", lead, "#"); !strings.HasPrefix(holder(), me) {
+		for _, w := range g.view().Table.Duties[duties.MapKeeper].Queue {
+			if strings.HasPrefix(w, me) {
+				g.do(group.Command{Ask: &lease.Ask{Op: lease.Hand, Duty: duties.MapKeeper, Who: w}})
+			}
+		}
+		await(t, "handed on by consent", 5*time.Second, func() bool { return strings.HasPrefix(holder(), me) })
+	}
+	for i := range 4 {
+		g.submit(duties.MapKeeper, fmt.Sprint("m", i), duties.KindMove, duties.Move{Tenant: fmt.Sprint("t", i), To: "b"})
+		if i == 1 {
+			g.Members[lead].Kill()
+			g.awaitLeader()
+		}
+	}
+	for i := range 4 {
+		if it := g.over(duties.MapKeeper, fmt.Sprint("m", i), 15*time.Second); it.State != duties.Done {
+			t.Errorf("%s: %s", it.State, it.Note)
+		}
+	}
+	if head, _, err := (fleet.Series{Dir: dir}).Head(); err != nil || head.Version != 5 {
+		t.Errorf("version %d, %v", head.Version, err)
+	}
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -51,6 +51,7 @@
 	Queue  []string `json:"queue,omitempty"`  // who waits, the first first
 	Next   string   `json:"next,omitempty"`   // who is to have it by consent
 	Paused string   `json:"paused,omitempty"` // why no act is begun; empty: it is not paused
+	Since  int64    `json:"since,omitempty"`  // when it came to its holder, in Unix milliseconds by the leader's clock then: for people
 }
 
 // Table has all duties. It is never changed but by Apply, in the order of the group's log.
@@ -83,6 +84,7 @@
 	Who   string `json:"who,omitempty"`
 	Epoch Epoch  `json:"epoch,omitempty"`
 	Why   string `json:"why,omitempty"`
+	At    int64  `json:"at,omitempty"` // Unix milliseconds, by the clock of the member that proposes it: for people
 }
 
 // What a table says no for.
@@ -112,7 +114,7 @@
 			return *d, errors.New("who: missing")
 		case d.Holder == a.Who || slices.Contains(d.Queue, a.Who):
 		case d.Holder == "":
-			d.grant(a.Who)
+			d.grant(a.Who, a.At)
 		case len(d.Queue) >= mostWaiting:
 			return *d, fmt.Errorf("%d wait already", len(d.Queue))
 		default:
@@ -122,7 +124,7 @@
 		if a.Epoch != d.Epoch || d.Holder == "" || a.Op == Release && d.Holder != a.Who {
 			return *d, d.Stale(a.Epoch)
 		}
-		d.next()
+		d.next(a.At)
 	case Forget:
 		d.Queue = slices.DeleteFunc(slices.Clone(d.Queue), func(w string) bool { return w == a.Who })
 	case Hand:
@@ -142,7 +144,7 @@
 	case Raise:
 		if a.Epoch > d.Epoch { // whoever owns it by a lower one is refused where that was seen
 			d.Epoch = a.Epoch
-			d.next()
+			d.next(a.At)
 		}
 	default:
 		return *d, fmt.Errorf("%w: %q", ErrUnknown, a.Op)
@@ -167,8 +169,9 @@
 	return nil
 }
 
-func (d *Duty) grant(who string) {
+func (d *Duty) grant(who string, at int64) {
 	d.Epoch++
+	d.Since = at
 	d.Holder = who
 	if d.Next == who {
 		d.Next = ""
@@ -176,7 +179,7 @@
 }
 
 // next passes the duty on: to whom it is handed, else to who has waited longest.
-func (d *Duty) next() {
+func (d *Duty) next(at int64) {
 	d.Holder = ""
 	if len(d.Queue) == 0 {
 		return
@@ -184,7 +187,7 @@
 	i := max(0, slices.Index(d.Queue, d.Next))
 	who := d.Queue[i]
 	d.Queue = slices.Delete(slices.Clone(d.Queue), i, i+1)
-	d.grant(who)
+	d.grant(who, at)
 }
 
 // ---- The leader's time ----
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,6 +43,13 @@
 // that it owns the duty), intent (written), act (made, and its outcome not written).
 var Boundary = func(duty, at string, step uint64) {}
 
+// Wall is the clock by which maps are made, in test programs another one.
+var Wall = time.Now
+
+// errClock says that this process's clock and that of the group's leader differ by more than the map allows. What is
+// planned by such a clock is for another time than the routers'.
+var errClock = errors.New("the clock differs from the group's")
+
 const (
 	look       = 20 * time.Millisecond  // between two looks at a lease
 	idle       = 250 * time.Millisecond // between two looks at a journal without work
@@ -224,6 +231,12 @@
 		if did, err := d.one(ctx, epoch); err != nil {
 			d.tell(err)
 			wait = idle
+			if errors.Is(err, errClock) { // somebody else may have a better one
+				d.mu.Lock()
+				d.holder.Leave(d.clock(), true)
+				d.mu.Unlock()
+				wait = askFor
+			}
 		} else if did {
 			wait = 0
 		} else if d.name == duties.Conducts && d.rolling() {
@@ -250,11 +263,13 @@
 // one does one thing, and reports whether there was any.
 func (d *duty) one(ctx context.Context, epoch lease.Epoch) (did bool, err error) {
 	asking, cancel := context.WithTimeout(ctx, askFor)
+	asked := time.Now()
 	v, err := d.cfg.Group.Read(asking, d.name)
 	cancel()
 	if err != nil {
 		return false, err
 	}
+	off := Wall().Sub(time.UnixMilli(v.Wall)).Abs() - time.Since(asked) - time.Millisecond
 	if err := v.Table.Owns(d.name, d.who, epoch); err != nil {
 		return false, err
 	}
@@ -263,7 +278,7 @@
 		return false, errors.New("no journal")
 	}
 	paused := v.Table.Duties[d.name].Paused != ""
-	act, err := d.decide(j, epoch, paused)
+	act, err := d.decide(j, epoch, paused, off)
 	if err != nil {
 		return false, err
 	}
@@ -350,7 +365,7 @@
 var codec = duties.Codec{Format: settings.FormatCells, Parse: settings.ParseCells}
 
 // decide asks the duty's decisions what is next.
-func (d *duty) decide(j *duties.Journal, epoch lease.Epoch, paused bool) (duties.Act, error) {
+func (d *duty) decide(j *duties.Journal, epoch lease.Epoch, paused bool, off time.Duration) (duties.Act, error) {
 	m, raw, err := d.series.Head()
 	if m == nil && err != nil {
 		return duties.Act{}, err
@@ -364,6 +379,9 @@
 		if paused && (it == nil || it.State == duties.Queued) {
 			return duties.Act{}, nil
 		}
+		if m != nil && off > m.Skew {
+			return duties.Act{}, fmt.Errorf("%w: by %v, skew_ms allows %v", errClock, off.Round(time.Millisecond), m.Skew)
+		}
 		h := duties.Head{Map: m, Raw: raw}
 		if it != nil && it.State == duties.Intent {
 			if plan, err := settings.ParseCells([]byte(it.Plan)); err == nil {
@@ -373,7 +391,7 @@
 			}
 		}
 		d.keeper.Codec = codec
-		act := d.keeper.Next(j, h, uint64(epoch), time.Now())
+		act := d.keeper.Next(j, h, uint64(epoch), Wall())
 		if act.Kind == duties.Publish && d.fails >= mostFails {
 			act = duties.Act{Kind: duties.Withdraw, Version: act.Version}
 		}
--- a/internal/quorum/member/member.go
+++ b/internal/quorum/member/member.go
@@ -469,6 +469,9 @@
 	if len(m.waiting) >= mostReads {
 		return errBusy
 	}
+	if c.Ask != nil {
+		c.Ask.At = time.Now().UnixMilli()
+	}
 	m.seq++
 	id := m.salt + m.seq
 	b, err := entry(id, c)
--- a/internal/quorum/member/words.go
+++ b/internal/quorum/member/words.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"time"
 
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -305,7 +306,7 @@
 			answer(msgpackrpc.Verdict{Error: quorum.WordLost})
 			return
 		}
-		v := quorum.View{Terms: m.state.Terms, Table: m.state.Table, Journals: map[string]*duties.Journal{}}
+		v := quorum.View{Terms: m.state.Terms, Table: m.state.Table, Journals: map[string]*duties.Journal{}, Wall: time.Now().UnixMilli()}
 		for _, name := range duties.Names {
 			if w.Fields["duty"] == name || w.Fields["duty"] == "*" {
 				v.Journals[name] = m.state.Journal(name)
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -56,6 +56,7 @@
 	Terms    lease.Terms                `json:"terms"`
 	Table    *lease.Table               `json:"table"`
 	Journals map[string]*duties.Journal `json:"journals,omitempty"`
+	Wall     int64                      `json:"wall"` // the leader's clock as it answered, in Unix milliseconds
 }
 
 // Status is what a member is.
