--- a/cmd/silverpath/main.go
+++ b/cmd/silverpath/main.go
@@ -26,7 +26,7 @@
 }
 
 func root() *cobra.Command {
-	var config, edge, listen, web string
+	var config, edge, listen, web, logs string
 	router := false
 	load := func() (settings.Config, error) {
 		cfg, err := read(config, router)
@@ -36,6 +36,10 @@
 		if err == nil && web != "" {
 			cfg.SCGI.Listen = web
 		}
+		if err == nil && logs != "text" && logs != "json" {
+			err = fmt.Errorf("--log: %q is neither text nor json", logs)
+		}
+		cfg.JSONLog = logs == "json"
 		if err == nil && edge != "" {
 			cfg.Edge, err = settings.LoadEdge(edge, cfg.Server)
 		}
@@ -51,6 +55,7 @@
 		c.Flags().StringVar(&config, "config", "", "configuration file (default: $LB_CONFIG, else a built-in one)")
 		c.Flags().StringVar(&edge, "edge", "", "file that sets up pools, reserve and status requests")
 		c.Flags().StringVar(&listen, "listen", "", "address of the MessagePack-RPC front, in place of the file's")
+		c.Flags().StringVar(&logs, "log", "text", "the log's form: text for people, json for machines")
 		c.Flags().StringVar(&web, "scgi", "", "address of the SCGI front, in place of the file's")
 		return c
 	}
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -8,6 +8,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"silverpath/internal/events"
 )
 
 // Every is the time between reports. An entry lapses 3 s after the last report that arrived, and a good part of
@@ -88,7 +90,7 @@
 	}
 	conn, err := net.Dial("udp", addr)
 	if err != nil {
-		r.log.Printf("not announced: %v", err)
+		events.Say(r.log, "announce.failed", err)
 		return nil
 	}
 	return conn
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"silverpath"
+	"silverpath/internal/events"
 	"silverpath/internal/phase"
 	"silverpath/internal/pools"
 	"silverpath/internal/stats"
@@ -380,7 +381,7 @@
 			return
 		}
 		if t.ran { // a run is never refused; the module keeps to this, so the line should not be seen
-			c.log.Printf("guard: refusal of %s, which has run, goes out as a failure", id)
+			events.Say(c.log, "guard.refusal", id)
 			c.answer(t, Answer{Outcome: Failed})
 			return
 		}
@@ -436,4 +437,4 @@
 	c.actions = append(c.actions, func() { time.AfterFunc(after, c.wake) })
 }
 
-func (h *host) Log(text string) { (*Core)(h).log.Printf("module: %s", text) }
+func (h *host) Log(text string) { events.Say((*Core)(h).log, "module", text) }
--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"silverpath"
+	"silverpath/internal/events"
 	"silverpath/internal/pools"
 )
 
@@ -138,17 +139,17 @@
 	st := c.guard.State(now)
 	c.view.Pools = &st
 	if old == nil || old.Memory != st.Memory {
-		c.log.Printf("pools: memory %v: %.2f booked, %.2f of the process's own", st.Memory, st.Booked, st.Process)
+		events.Say(c.log, "pools.memory", st.Memory, st.Booked, st.Process)
 	}
 	for i, p := range st.Pools {
 		was := old != nil && i < len(old.Pools) && old.Pools[i].Starving
 		if p.Starving && !was {
-			c.log.Printf("pools: %s starves: %d waiting, %d of %.1f runs of its floor", p.Name, p.Waiting, p.Used, p.Floor)
+			events.Say(c.log, "pools.starves", p.Name, p.Waiting, p.Used, p.Floor)
 		}
 	}
 	if math.Abs(math.Log(st.Limit/c.saidLimit)) > moved && now-c.saidAt >= sayLimit {
 		c.saidLimit, c.saidAt = st.Limit, now
-		c.log.Printf("pools: limit %.1f of at most %.1f runs, %s", st.Limit, st.Ceiling, st.Belief)
+		events.Say(c.log, "pools.limit", st.Limit, st.Ceiling, st.Belief)
 	}
 }
 
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"silverpath"
+	"silverpath/internal/events"
 	"silverpath/internal/handover"
 	"silverpath/internal/phase"
 )
@@ -357,8 +358,7 @@
 	if t.word != owed {
 		return
 	}
-	c.log.Printf("backstop: %s %s is due, %v after it was read, and had no answer from the module",
-		t.Class, t.ID, time.Since(t.read).Round(time.Millisecond))
+	events.Say(c.log, "backstop", t.Class, t.ID, time.Since(t.read).Round(time.Millisecond))
 	c.stats.Inc("backstop")
 	c.answer(t, Answer{Outcome: Expired})
 	c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Gone(now, t.ID) })
@@ -404,7 +404,7 @@
 		why = "another try of it has run"
 	}
 	if why != "" {
-		c.log.Printf("guard: %s %s is not run: %s", t.Class, t.ID, why)
+		events.Say(c.log, "guard.run", t.Class, t.ID, why)
 		c.stats.Inc("guard")
 		t.running = true // for the end that follows
 		t.post(step{kind: ended, outcome: silverpath.Ignored})
--- a/internal/core/pair.go
+++ b/internal/core/pair.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"silverpath"
+	"silverpath/internal/events"
 	"silverpath/internal/handover"
 	"silverpath/internal/phase"
 )
@@ -94,7 +95,7 @@
 	}
 	c.keys.limit, c.maxTasks = c.pair.limits[0]/part, max(32, c.pair.limits[1]/part)
 	if err := c.retune(*c.set.Load()); err != nil {
-		c.log.Printf("handover: the limits are not shared: %v", err)
+		events.Say(c.log, "handover.unshared", err)
 	}
 	c.pair.Shared(two)
 }
@@ -141,8 +142,7 @@
 		was := s.Role()
 		s.Alone(s.Peer() != 0 && marked(s.Peer()), c.windowEnd())
 		if was != s.Role() && s.Blind() > time.Now().UnixNano() {
-			c.log.Printf("handover: the other process is gone and what it ran is not all known: unknown keys fail for %v",
-				time.Until(time.Unix(0, s.Blind())).Round(time.Second))
+			events.Say(c.log, "handover.blind", time.Until(time.Unix(0, s.Blind())).Round(time.Second))
 		}
 	})
 }
@@ -348,7 +348,7 @@
 		c.onPair(func(s *handover.Side) { s.Unwritten() })
 	}
 	if err := c.pair.Mark(); err != nil {
-		c.log.Printf("handover: a keyed request is not run: the mark can't be left: %v", err)
+		events.Say(c.log, "handover.no_mark", err)
 		c.stats.Inc("handover", "no_mark")
 		return false
 	}
--- a/internal/core/phases.go
+++ b/internal/core/phases.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 
+	"silverpath/internal/events"
 	"silverpath/internal/phase"
 )
 
@@ -26,7 +27,7 @@
 	p.state.Store(int32(a.To))
 	p.mu.Unlock()
 	if a.To != was {
-		p.log.Printf("phase %v", a.To)
+		events.Say(p.log, "phase", a.To)
 	}
 	return a
 }
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,156 @@
+// Package events is what the service logs: every event has a name and its fields, by a table. For people it is a line of
+// text; for machines a JSON object with the same fields.
+package events
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"strings"
+
+	"github.com/rs/zerolog"
+)
+
+// Texts has every event: its name, and its line, in which a field stands as {name} or, with a verb of fmt, {name:%.2f}.
+var Texts = map[string]string{
+	"announce.failed":       "not announced: {why}",
+	"backstop":              "backstop: {class} {request} is due, {after} after it was read, and had no answer from the module",
+	"cells.bad_map":         "cells: the old map holds, version {version}: {why}",
+	"cells.new_map":         "cells: map version {version}, was {was}: {changes} changes",
+	"exit":                  "exit",
+	"fleet.health":          "fleet: server {server} is {health}",
+	"front.accepting":       "{front}: accepting: {why}",
+	"front.closed":          "{front}: closing the connection of {peer}: {why}",
+	"guard.refusal":         "guard: refusal of {request}, which has run, goes out as a failure",
+	"guard.run":             "guard: {class} {request} is not run: {why}",
+	"handover.alone":        "handover: alone, was {was}",
+	"handover.blind":        "handover: the other process is gone and what it ran is not all known: unknown keys fail for {left}",
+	"handover.failed":       "handover: {why}",
+	"handover.full":         "handover: two processes live already: waiting until one is gone",
+	"handover.known":        "handover: {role}, and all of the other's runs are known",
+	"handover.link_down":    "handover: link down: {why}",
+	"handover.no_mark":      "handover: a keyed request is not run: the mark can't be left: {why}",
+	"handover.shared":       "handover: the limits are shared by {by}",
+	"handover.successor":    "handover: the other process takes over",
+	"handover.unlinked":     "handover: runs on without a link to the other process, which is there",
+	"handover.unshared":     "handover: the limits are not shared: {why}",
+	"interpreter.link_down": "interpreter link down: {why}",
+	"interpreter.link_up":   "interpreter link live again with {runs} runs",
+	"interpreter.moved":     "interpreter moved from {from} to {to}",
+	"interpreter.refused":   "interpreter refused {command} of {request}",
+	"interpreter.restarted": "interpreter restarted: {lost} runs are lost",
+	"interpreter.up":        "interpreter up: {state}, started {took_ms} ms ago",
+	"leaving":               "told to leave: {signal}",
+	"listening":             "{front}: listening on {addr}",
+	"mgmt.bad_call":         "mgmt: {status} to {peer}: {why}",
+	"module":                "module: {text}",
+	"orders.learnt":         "orders: {duty}: epoch {epoch}, step {step}, by the group",
+	"orders.refused":        "mgmt: order refused: {path}: {why}",
+	"orders.taken":          "orders: {act} of {duty}, epoch {epoch}, step {step}: {why}",
+	"phase":                 "phase {phase}",
+	"pools.limit":           "pools: limit {limit:%.1f} of at most {ceiling:%.1f} runs, {belief}",
+	"pools.memory":          "pools: memory {stage}: {booked:%.2f} booked, {own:%.2f} of the process's own",
+	"pools.starves":         "pools: {pool} starves: {waiting} waiting, {used} of {floor:%.1f} runs of its floor",
+	"reload.bad":            "reload: the old configuration holds: {why}",
+	"reload.differs":        "reload: {field}: differs, and holds only from the next start",
+	"reload.done":           "reload: done",
+	"reload.moved":          "reload: {what}: from {from} to {to}",
+	"reload.pools":          "reload: pools: taken up",
+	"reload.pools_bad":      "reload: the old pools hold: {why}",
+	"reload.settings":       "reload: settings: taken up, {classes}",
+	"scgi.unread":           "{front}: {status} to {peer}: {why}",
+	"snmp.reading":          "snmp: reading: {why}",
+	"upstream.broken":       "application server: request {request}: {why}",
+	"upstream.unreachable":  "application server: {why}",
+	"worker":                "worker: no configuration: the built-in worker at {addr} does the work, which is to send back what came",
+}
+
+// part is a piece of a line: what is said as it is, then a field.
+type part struct{ before, field, verb string }
+
+// lines are the texts, cut once.
+var lines = func() map[string][]part {
+	all := map[string][]part{}
+	for name, text := range Texts {
+		all[name] = cut(text)
+	}
+	return all
+}()
+
+func cut(text string) (parts []part) {
+	for {
+		before, rest, found := strings.Cut(text, "{")
+		if !found {
+			return append(parts, part{before: before})
+		}
+		field, after, _ := strings.Cut(rest, "}")
+		name, verb, _ := strings.Cut(field, ":")
+		if verb == "" {
+			verb = "%v"
+		}
+		parts, text = append(parts, part{before, name, verb}), after
+	}
+}
+
+// Fields are the names of an event's fields, in the order of their values.
+func Fields(name string) (list []string) {
+	for _, p := range lines[name] {
+		if p.field != "" {
+			list = append(list, p.field)
+		}
+	}
+	return list
+}
+
+// Machine is a log's output for machines.
+type Machine struct{ log zerolog.Logger }
+
+// NewMachine returns the output of a process for machines.
+func NewMachine(out io.Writer, process string) *Machine {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
+	return &Machine{zerolog.New(out).With().Timestamp().Str("process", process).Logger()}
+}
+
+// Write takes what is no event of the table.
+func (m *Machine) Write(b []byte) (int, error) {
+	m.log.Log().Str("event", "text").Str("text", strings.TrimSpace(string(b))).Send()
+	return len(b), nil
+}
+
+// Say logs an event, with the values of its fields in their order.
+func Say(l *log.Logger, name string, values ...any) {
+	parts := lines[name]
+	if m, ok := l.Writer().(*Machine); ok {
+		e := m.log.Log().Str("event", name)
+		for i, p := range parts {
+			if p.field != "" && i < len(values) {
+				e = add(e, p.field, values[i])
+			}
+		}
+		e.Send()
+		return
+	}
+	var b strings.Builder
+	for i, p := range parts {
+		b.WriteString(p.before)
+		if p.field != "" && i < len(values) {
+			fmt.Fprintf(&b, p.verb, values[i])
+		}
+	}
+	l.Print(b.String())
+}
+
+// add adds a field: a number as one, all else as it is said to people.
+func add(e *zerolog.Event, name string, v any) *zerolog.Event {
+	switch v := v.(type) {
+	case int:
+		return e.Int(name, v)
+	case int64:
+		return e.Int64(name, v)
+	case uint64:
+		return e.Uint64(name, v)
+	case float64:
+		return e.Float64(name, v)
+	}
+	return e.Str(name, fmt.Sprint(v))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"silverpath"
 	"silverpath/internal/cells"
 	"silverpath/internal/core"
+	"silverpath/internal/events"
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/routing"
 	"silverpath/internal/stats"
@@ -130,12 +131,12 @@
 	m, read, err := r.cfg.Source.Load(old.Map)
 	if err != nil {
 		r.stats.Inc("cells", "bad_map")
-		r.log.Printf("cells: the old map holds, version %d: %v", old.Version, err)
+		events.Say(r.log, "cells.bad_map", old.Version, err)
 		return
 	}
 	if m.Version != old.Version {
 		r.stats.Inc("cells", "new_map")
-		r.log.Printf("cells: map version %d, was %d: %d changes", m.Version, old.Version, len(cells.Diff(old.Map, m)))
+		events.Say(r.log, "cells.new_map", m.Version, old.Version, len(cells.Diff(old.Map, m)))
 	}
 	r.take(m, read)
 }
@@ -217,7 +218,7 @@
 	for _, s := range r.table.States(r.clock()) {
 		if old, known := r.said[s.Name]; s.Health != old || !known {
 			r.said[s.Name] = s.Health
-			r.log.Printf("fleet: server %s is %v", s.Name, s.Health)
+			events.Say(r.log, "fleet.health", s.Name, s.Health)
 		}
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"silverpath/internal/events"
 	"silverpath/internal/pools"
 	"silverpath/internal/stats"
 )
@@ -45,9 +46,9 @@
 	s.asked++
 }
 
-// Logf logs what was wrong with a peer. Whoever floods the service floods no log: of many lines a second the
+// Say logs what was wrong with a peer. Whoever floods the service floods no log: of many lines a second the
 // rest is only counted.
-func (s *Slot) Logf(format string, args ...any) {
+func (s *Slot) Say(event string, values ...any) {
 	l := s.owner
 	l.mu.Lock()
 	now := time.Now()
@@ -58,7 +59,7 @@
 	n := l.logged
 	l.mu.Unlock()
 	if n <= mostLines {
-		l.log.Printf(format, args...)
+		events.Say(l.log, event, values...)
 	} else {
 		l.stats.Inc("unlogged", l.name)
 	}
@@ -244,7 +245,7 @@
 				return
 			}
 			l.stats.Inc("accept_failed", l.name)
-			l.log.Printf("%s: accepting: %v", l.name, err)
+			events.Say(l.log, "front.accepting", l.name, err)
 			time.Sleep(10 * time.Millisecond) // out of descriptors: some will come free
 			continue
 		}
--- a/internal/interp/interp.go
+++ b/internal/interp/interp.go
@@ -19,6 +19,7 @@
 
 	"silverpath"
 	"silverpath/internal/buf"
+	"silverpath/internal/events"
 	"silverpath/internal/settings"
 	"silverpath/internal/stats"
 )
@@ -170,11 +171,11 @@
 		case ctx.Err() != nil:
 		case moved:
 			l.stats.Inc("interpreter", "moved")
-			l.log.Printf("interpreter moved from %s to %s", addr, next)
+			events.Say(l.log, "interpreter.moved", addr, next)
 			wait = redialAfter
 		default:
 			l.stats.Inc("interpreter", "link_down")
-			l.log.Printf("interpreter link down: %v", err)
+			events.Say(l.log, "interpreter.link_down", err)
 			if live {
 				wait = redialAfter
 			}
@@ -343,7 +344,7 @@
 	}
 	switch kind {
 	case "BANNER":
-		l.log.Printf("interpreter up: %s, started %d ms ago", v.GetStringBytes("state"), v.GetInt64("took"))
+		events.Say(l.log, "interpreter.up", string(v.GetStringBytes("state")), v.GetInt64("took"))
 		ago := time.Duration(min(max(0, v.GetInt64("took")), longestTook)) * time.Millisecond
 		l.restarted(ago)
 		l.events.Started(string(v.GetStringBytes("state")) == "EMPTY", ago)
@@ -371,7 +372,7 @@
 			command = "other" // counters are bounded, what comes off a wire is not
 		}
 		l.stats.Inc("interpreter", "error", command)
-		l.log.Printf("interpreter refused %s of %s", command, id)
+		events.Say(l.log, "interpreter.refused", command, id)
 		l.mu.Lock()
 		j := l.jobs[id]
 		l.mu.Unlock()
@@ -407,7 +408,7 @@
 	l.mu.Unlock()
 	if len(lost) > 0 {
 		l.stats.Add(uint64(len(lost)), "interpreter", "runs_lost")
-		l.log.Printf("interpreter restarted: %d runs are lost", len(lost))
+		events.Say(l.log, "interpreter.restarted", len(lost))
 	}
 	for _, id := range lost {
 		l.ended(id, silverpath.Failed, 0, nil)
@@ -421,7 +422,7 @@
 	defer l.mu.Unlock()
 	l.live = true
 	if len(l.jobs) > 0 {
-		l.log.Printf("interpreter link live again with %d runs", len(l.jobs))
+		events.Say(l.log, "interpreter.link_up", len(l.jobs))
 	}
 	replies := l.queue
 	l.queue = nil
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -22,6 +22,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"silverpath/internal/events"
 	"silverpath/internal/stats"
 )
 
@@ -384,7 +385,7 @@
 		yes, why := s.order.Take(strings.TrimPrefix(c.path, "/api/"), q.Get("duty"), epoch, step, do)
 		s.stats.Inc("orders", map[bool]string{true: "taken", false: "refused"}[yes])
 		if !yes {
-			s.log.Printf("%s: order refused: %s: %s", Name, c.path, why)
+			events.Say(s.log, "orders.refused", c.path, why)
 		}
 		return yes, why
 	}, nil
@@ -436,7 +437,7 @@
 	}
 	s.mu.Unlock()
 	if say {
-		s.log.Printf("%s: %d to %v: %s", Name, p.code, conn.RemoteAddr(), p.why)
+		events.Say(s.log, "mgmt.bad_call", int(p.code), conn.RemoteAddr(), p.why)
 	}
 	s.write(conn, p.code, p.why, headers...)
 }
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -104,7 +104,7 @@
 		c.fail()
 	case errors.Is(err, errMalformed) || errors.Is(err, io.ErrUnexpectedEOF):
 		f.stats.Inc("malformed", Name)
-		slot.Logf("%s: closing the connection of %v: %v", Name, conn.RemoteAddr(), err)
+		slot.Say("front.closed", Name, conn.RemoteAddr(), err)
 		c.fail()
 	default:
 		c.fail()
--- a/internal/msgpackrpc/words.go
+++ b/internal/msgpackrpc/words.go
@@ -108,7 +108,7 @@
 		f.stats.Inc("too_slow", f.name)
 	case errors.Is(err, errMalformed):
 		f.stats.Inc("malformed", f.name)
-		slot.Logf("%s: closing the connection of %v: %v", f.name, conn.RemoteAddr(), err)
+		slot.Say("front.closed", f.name, conn.RemoteAddr(), err)
 	}
 	conn.Close()
 	cancel()
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"silverpath/internal/events"
 	"silverpath/internal/fence"
 	"silverpath/internal/lease"
 	"silverpath/internal/quorum"
@@ -56,7 +57,7 @@
 			at = j.Step
 		}
 		o.file.Learn(duty, seen, at)
-		o.Log.Printf("orders: %s: epoch %v, step %d, by the group", duty, seen, at)
+		events.Say(o.Log, "orders.learnt", duty, seen, at)
 	}
 	order := fence.Order{Duty: duty, Epoch: lease.Epoch(epoch), Step: step, Act: act}
 	fresh, err := o.file.Judge(order)
@@ -75,6 +76,6 @@
 	if yes {
 		o.did[duty] = order
 	}
-	o.Log.Printf("orders: %s of %s, epoch %v, step %d: %s", act, duty, order.Epoch, step, why)
+	events.Say(o.Log, "orders.taken", act, duty, order.Epoch, step, why)
 	return yes, why
 }
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"silverpath/internal/core"
+	"silverpath/internal/events"
 	"silverpath/internal/handover"
 	"silverpath/internal/stats"
 )
@@ -89,7 +90,7 @@
 	place, ok := p.places.take()
 	if !ok {
 		if !p.third {
-			p.log.Printf("handover: two processes live already: waiting until one is gone")
+			events.Say(p.log, "handover.full")
 			p.stats.Inc("handover", "third")
 		}
 		p.third = true
@@ -123,7 +124,7 @@
 	p.alone = true
 	was := p.core.PairRole()
 	p.gone()
-	p.log.Printf("handover: alone, was %v", was)
+	events.Say(p.log, "handover.alone", was)
 	p.places.sweep()
 	return false
 }
@@ -161,7 +162,7 @@
 		case <-tick.C:
 			if p.place < 0 {
 				if err := p.enter(); err != nil {
-					p.log.Printf("handover: %v", err)
+					events.Say(p.log, "handover.failed", err)
 				}
 			} else if p.look() && p.place == 1 && !time.Now().Before(p.next) {
 				if conn, err := net.DialTimeout("unix", p.places.socket(0), lookEvery); err == nil {
@@ -215,7 +216,7 @@
 	if errors.Is(err, errFrame) {
 		p.stats.Inc("malformed", "handover")
 	}
-	p.log.Printf("handover: link down: %v", err)
+	events.Say(p.log, "handover.link_down", err)
 	if errors.Is(err, handover.ErrOther) {
 		p.core.PairOther()
 	}
@@ -246,7 +247,7 @@
 			p.stats.Inc("handover", "links")
 		case handover.Whole:
 			p.wait = 0
-			p.log.Printf("handover: %v, and all of the other's runs are known", p.core.PairRole())
+			events.Say(p.log, "handover.known", p.core.PairRole())
 		}
 		if clear {
 			if p.flush(p.present()) == nil { // else what the other wrote is still to be read
@@ -326,7 +327,7 @@
 	}
 	p.marked = true
 	p.stats.Inc("handover", "marked")
-	p.log.Printf("handover: runs on without a link to the other process, which is there")
+	events.Say(p.log, "handover.unlinked")
 	return f.Close()
 }
 
--- a/internal/quorum/member/main.go
+++ b/internal/quorum/member/main.go
@@ -14,11 +14,14 @@
 
 	"github.com/rs/zerolog"
 
+	"silverpath/internal/core"
 	"silverpath/internal/front"
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/owner"
+	"silverpath/internal/phase"
 	"silverpath/internal/quorum"
 	"silverpath/internal/settings"
+	"silverpath/internal/snmp"
 	"silverpath/internal/stats"
 )
 
@@ -59,6 +62,15 @@
 		defer ln.Close()
 		l.Info().Str("event", "group.listening").Str("process", set.Name).Stringer("addr", ln.Addr()).Send()
 		go ln.Serve()
+		if a := set.Member.SNMP; a.Listen != "" {
+			agent, err := snmp.Listen(a.Listen, a.Community, set.Name, shown{m}, log.New(l, "", 0), counters, nil)
+			if err != nil {
+				return errors.Join(fmt.Errorf("member.snmp.listen: %w", err), m.Close())
+			}
+			defer agent.Close()
+			l.Info().Str("event", "group.snmp").Str("process", set.Name).Stringer("addr", agent.Addr()).Send()
+			go agent.Serve()
+		}
 		member, stop := context.WithCancel(context.Background())
 		defer stop()
 		stopMember = stop
@@ -100,6 +112,19 @@
 	}
 }
 
+// shown is what the SNMP agent shows of a member: healthy while it has its vote and knows a leader.
+type shown struct{ m *Member }
+
+func (s shown) Health() bool { st := s.m.Status(); return st.Confirmed && st.Leader != "" }
+func (s shown) Phase() phase.State {
+	if s.m.Status().Confirmed {
+		return phase.Serving
+	}
+	return phase.Starting
+}
+func (s shown) Owed() int       { return 0 }
+func (s shown) View() core.View { return core.View{} }
+
 func openMember(set settings.Quorum, l zerolog.Logger, counters *stats.Counters) (*Member, *front.Listener, error) {
 	if err := os.MkdirAll(set.Member.Dir, 0o700); err != nil {
 		return nil, nil, fmt.Errorf("member.dir: %w", err)
--- a/internal/quorum/member/member.go
+++ b/internal/quorum/member/member.go
@@ -292,6 +292,7 @@
 			m.die(err)
 			return
 		}
+		m.stats.Inc("group", "syncs")
 	}
 	if !raft.IsEmptySnap(rd.Snapshot) {
 		state, err := group.Restore(rd.Snapshot.GetData())
--- a/internal/scgi/front.go
+++ b/internal/scgi/front.go
@@ -143,7 +143,7 @@
 		return // it broke off: nobody is there to be answered
 	}
 	f.stats.Inc(p.count, Name)
-	slot.Logf("%s: %s to %v: %s", Name, p.status, conn.RemoteAddr(), p.text)
+	slot.Say("scgi.unread", Name, p.status, conn.RemoteAddr(), p.text)
 	f.write(conn, p.status, []byte(p.text+"\n"), "text/plain")
 	linger(conn, r)
 }
--- a/internal/scgi/upstream.go
+++ b/internal/scgi/upstream.go
@@ -13,6 +13,7 @@
 	"silverpath"
 	"silverpath/internal/buf"
 	"silverpath/internal/core"
+	"silverpath/internal/events"
 	"silverpath/internal/stats"
 )
 
@@ -94,7 +95,7 @@
 	conn, err := u.dial(ctx, "tcp", u.addr)
 	if err != nil {
 		u.stats.Inc("upstream", "unreachable")
-		u.log.Printf("application server: %v", err)
+		events.Say(u.log, "upstream.unreachable", err)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return silverpath.Ignored, nil // proof that nothing ran
 		}
@@ -106,7 +107,7 @@
 	case err != nil:
 		// A connection that breaks proves nothing: the effect may have taken place.
 		u.stats.Inc("upstream", "broken")
-		u.log.Printf("application server: request %s: %v", id, err)
+		events.Say(u.log, "upstream.broken", id, err)
 		return silverpath.Failed, nil
 	case a.status/100 != 2:
 		u.stats.Inc("upstream", fmt.Sprintf("status_%d", a.status))
--- a/internal/service/drain.go
+++ b/internal/service/drain.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"silverpath/internal/events"
 )
 
 // drain leads from the notice to the end. Callers hear of it seconds late, and whoever takes over may be cold yet:
@@ -18,7 +20,7 @@
 	}
 	if s.core.Successor() {
 		// Whoever connects from now on is taken by the other process, and whoever is told to leave here goes there.
-		s.log.Printf("handover: the other process takes over")
+		events.Say(s.log, "handover.successor")
 		s.reporter.Quiet()
 		lead = 0
 		s.closeListeners()
--- a/internal/service/main.go
+++ b/internal/service/main.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"silverpath/internal/events"
 	"silverpath/internal/mgmt"
 	"silverpath/internal/settings"
 )
@@ -22,18 +23,21 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(heapLimit(cfg))
 	l := log.New(out, "", log.Lmicroseconds|log.LUTC)
+	if cfg.JSONLog {
+		l = log.New(events.NewMachine(out, cfg.Name), "", 0)
+	}
 	s, err := New(cfg, l)
 	if err != nil {
 		return err
 	}
 	for _, ln := range s.listeners {
-		l.Printf("%s: listening on %v", ln.Name(), ln.Addr())
+		events.Say(l, "listening", ln.Name(), ln.Addr())
 	}
 	if s.agent != nil {
-		l.Printf("snmp: listening on %v", s.agent.Addr())
+		events.Say(l, "listening", "snmp", s.agent.Addr())
 	}
 	if s.mgmt != nil {
-		l.Printf("%s: listening on %v", mgmt.Name, s.mgmt.Addr())
+		events.Say(l, "listening", mgmt.Name, s.mgmt.Addr())
 	}
 	leave := make(chan struct{})
 	go func() {
@@ -49,10 +53,10 @@
 				}
 				if err != nil {
 					s.stats.Inc("reloads", "bad")
-					l.Printf("reload: the old configuration holds: %v", err)
+					events.Say(l, "reload.bad", err)
 				}
 			case !left:
-				l.Printf("told to leave: %v", sig)
+				events.Say(l, "leaving", sig)
 				left = true
 				close(leave)
 			}
@@ -60,6 +64,6 @@
 	}()
 	err = s.Run(leave)
 	s.stats.Print(out)
-	l.Printf("exit")
+	events.Say(l, "exit")
 	return err
 }
--- a/internal/service/reload.go
+++ b/internal/service/reload.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"reflect"
+	"strconv"
 	"strings"
 
 	"silverpath"
+	"silverpath/internal/events"
 	"silverpath/internal/settings"
 )
 
@@ -22,34 +24,34 @@
 			return fmt.Errorf("settings: %w", err)
 		}
 		s.cfg.Server = cfg.Server
-		s.log.Printf("reload: settings: taken up, %s", classes(cfg.Server))
+		events.Say(s.log, "reload.settings", classes(cfg.Server))
 	}
 	if s.worker != nil {
 		cfg.VM = old.VM
 	}
 	if s.link != nil && cfg.VM != "" && cfg.VM != old.VM {
-		s.log.Printf("reload: vm: from %s to %s", old.VM, cfg.VM)
+		events.Say(s.log, "reload.moved", "vm", old.VM, cfg.VM)
 		s.cfg.VM = cfg.VM
 		s.link.Move(cfg.VM)
 	}
 	if s.below != nil && cfg.Vault != "" && cfg.Vault != old.Vault {
-		s.log.Printf("reload: vault: from %s to %s", old.Vault, cfg.Vault)
+		events.Say(s.log, "reload.moved", "vault", old.Vault, cfg.Vault)
 		s.cfg.Vault = cfg.Vault
 		s.below.Move(cfg.Vault)
 	}
 	if cfg.Announce != old.Announce {
-		s.log.Printf("reload: announce: from %q to %q", old.Announce, cfg.Announce)
+		events.Say(s.log, "reload.moved", "announce", strconv.Quote(old.Announce), strconv.Quote(cfg.Announce))
 		s.cfg.Announce = cfg.Announce
 		s.reporter.Move(cfg.Announce)
 	}
 	for _, field := range s.cfg.Differs(cfg) {
-		s.log.Printf("reload: %s: differs, and holds only from the next start", field)
+		events.Say(s.log, "reload.differs", field)
 	}
 	if cfg.Edge.PoolsOn() && old.Edge.PoolsOn() && !reflect.DeepEqual(cfg.Edge.Pools, old.Edge.Pools) {
 		if err := s.core.ReloadPools(cfg.Edge.Pools); err != nil {
-			s.log.Printf("reload: the old pools hold: %v", err)
+			events.Say(s.log, "reload.pools_bad", err)
 		} else {
-			s.log.Printf("reload: pools: taken up")
+			events.Say(s.log, "reload.pools")
 			s.cfg.Edge.Pools = cfg.Edge.Pools
 		}
 	}
@@ -57,7 +59,7 @@
 		s.fleet.Reload()
 	}
 	s.stats.Inc("reloads", "done")
-	s.log.Printf("reload: done")
+	events.Say(s.log, "reload.done")
 	return nil
 }
 
--- a/internal/service/server.go
+++ b/internal/service/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"silverpath/internal/core"
+	"silverpath/internal/events"
 	"silverpath/internal/interp"
 	"silverpath/internal/orders"
 	"silverpath/internal/quorum"
@@ -23,7 +24,7 @@
 			return err
 		}
 		s.cfg.VM = s.worker.Addr()
-		s.log.Printf("worker: no configuration: the built-in worker at %s does the work, which is to send back what came", s.cfg.VM)
+		events.Say(s.log, "worker", s.cfg.VM)
 	}
 	if err := s.takeOrders(); err != nil {
 		return err
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -13,6 +13,7 @@
 
 	"silverpath/internal/announce"
 	"silverpath/internal/core"
+	"silverpath/internal/events"
 	"silverpath/internal/fleet"
 	"silverpath/internal/front"
 	"silverpath/internal/interp"
@@ -222,7 +223,7 @@
 		part = 2
 	}
 	debug.SetMemoryLimit(heapLimit(s.cfg) / int64(part))
-	s.log.Printf("handover: the limits are shared by %d", part)
+	events.Say(s.log, "handover.shared", part)
 	for _, sh := range s.shares {
 		go sh.ln.SetMost(sh.most / part)
 	}
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -30,6 +30,7 @@
 	Sockets  int
 	SCGI     SCGI
 	SNMP     SNMP
+	JSONLog  bool // its log is for machines: set by the command line
 	Worker   bool // the built-in worker does the work: set by a start without a configuration
 	Edge     Edge
 	Server   silverpath.Settings
--- a/internal/settings/quorum.go
+++ b/internal/settings/quorum.go
@@ -10,7 +10,6 @@
 	"github.com/valyala/fastjson"
 
 	"silverpath/internal/duties"
-	"silverpath/internal/lease"
 )
 
 // GroupRef names a group and the addresses of its members.
@@ -33,7 +32,7 @@
 	Listen, Addr string // Addr is by which others reach it
 	Dir          string
 	Tick         time.Duration
-	Terms        lease.Terms // of a group that it founds
+	SNMP         SNMP
 }
 
 // Owner sets up the ownership of duties.
@@ -83,11 +82,17 @@
 		f.fail("name", "missing")
 	}
 	if m := f.object("member"); m.v != nil {
-		m.only("listen", "addr", "dir", "tick_ms", "lease_ms", "drift")
-		q.Member = &Member{Listen: m.text("listen"), Addr: m.text("addr"), Dir: m.text("dir"), Tick: ms(m, "tick_ms", 50*time.Millisecond),
-			Terms: lease.Terms{TTL: ms(m, "lease_ms", 3*time.Second), Drift: 0.05}}
-		if m.get("drift", fastjson.TypeNumber) != nil {
-			q.Member.Terms.Drift = m.number("drift")
+		m.only("listen", "addr", "dir", "tick_ms", "snmp")
+		q.Member = &Member{Listen: m.text("listen"), Addr: m.text("addr"), Dir: m.text("dir"), Tick: ms(m, "tick_ms", 50*time.Millisecond)}
+		if agent := m.object("snmp"); agent.v != nil {
+			agent.only("listen", "community")
+			q.Member.SNMP = SNMP{Listen: agent.text("listen"), Community: agent.text("community")}
+			if err := address("listen", q.Member.SNMP.Listen); err != nil && *f.err == nil {
+				*f.err = fmt.Errorf("member.snmp.%w", err)
+			}
+			if q.Member.SNMP.Community == "" {
+				agent.fail("community", "missing")
+			}
 		}
 		if err := address("listen", q.Member.Listen); err != nil && *f.err == nil {
 			*f.err = fmt.Errorf("member.%w", err)
@@ -98,9 +103,6 @@
 		if q.Member.Dir == "" {
 			m.fail("dir", "missing")
 		}
-		if err := q.Member.Terms.Check(); err != nil && *f.err == nil {
-			*f.err = fmt.Errorf("member.%w", err)
-		}
 	}
 	if o := f.object("owner"); o.v != nil {
 		o.only("duties", "map", "routers", "gone_after_ms")
--- a/internal/snmp/agent.go
+++ b/internal/snmp/agent.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"silverpath/internal/core"
+	"silverpath/internal/events"
+	"silverpath/internal/phase"
 	"silverpath/internal/stats"
 )
 
@@ -44,19 +46,27 @@
 	errNotWritable = 17
 )
 
+// Source is what an agent shows, beside counters: a service's core, or a member of the group.
+type Source interface {
+	Health() bool
+	Phase() phase.State
+	Owed() int
+	View() core.View
+}
+
 // Agent answers SNMP requests.
 type Agent struct {
 	conn      net.PacketConn
 	community string
 	name      string
-	core      *core.Core
+	core      Source
 	stats     *stats.Counters
 	log       *log.Logger
 	began     time.Time
 }
 
 // Listen opens an agent's address; control, if any, is called on the socket first.
-func Listen(addr, community, name string, c *core.Core, l *log.Logger, s *stats.Counters,
+func Listen(addr, community, name string, c Source, l *log.Logger, s *stats.Counters,
 	control func(network, addr string, raw syscall.RawConn) error) (*Agent, error) {
 	conn, err := (&net.ListenConfig{Control: control}).ListenPacket(context.Background(), "udp", addr)
 	if err != nil {
@@ -79,7 +89,7 @@
 		n, peer, err := a.conn.ReadFrom(b)
 		if err != nil {
 			if !errors.Is(err, net.ErrClosed) {
-				a.log.Printf("snmp: reading: %v", err)
+				events.Say(a.log, "snmp.reading", err)
 				time.Sleep(100 * time.Millisecond)
 				continue
 			}
