A new owner's orders go before all else; a copy of an order does nothing, after a start too

First, Conductor.step went by the order of the servers, so the next owner had another return before it had settled the order that the old one had on its way. Second, orders.Take did a copy of the last order again after a start.

--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -943,3 +943,30 @@
 		t.Errorf("version %d, %v", head.Version, err)
 	}
 }
+
+// A clock that all but stops, far beyond the bound for drift: its process believes to own the duty for a minute after another
+// one does, and nothing that it does takes effect.
+func TestClockStops(t *testing.T) {
+	g := newGroup(t, 3)
+	dir := testMap(t)
+	one := g.owner("one", dir, []string{duties.MapKeeper}, nil, "SILVERPATH_CLOCK=0.005")
+	if _, err := one.Await(10*time.Second, 0, "duty.owned"); err != nil {
+		t.Fatal(err)
+	}
+	two := g.owner("two", dir, []string{duties.MapKeeper}, nil)
+	if _, err := two.Await(10*time.Second, 0, "duty.owned"); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		g.submit(duties.MapKeeper, fmt.Sprint("m", i), duties.KindMove, duties.Move{Tenant: fmt.Sprint("t", i), To: "b"})
+		if it := g.over(duties.MapKeeper, fmt.Sprint("m", i), 10*time.Second); it.State != duties.Done || it.Epoch != lease.First(1)+2 {
+			t.Errorf("%s: %s, by epoch %v", it.State, it.Note, it.Epoch)
+		}
+	}
+	if strings.Contains(one.Log(), "duty.step") && strings.Contains(one.Log(), "item=m") {
+		t.Errorf("one whose clock stands still wrote:\n%s", one.Log())
+	}
+	if strings.Contains(one.Log(), "duty.lost") {
+		t.Error("its clock did not stand still: the test shows nothing")
+	}
+}
--- a/internal/duties/conductor.go
+++ b/internal/duties/conductor.go
@@ -213,7 +213,22 @@
 		return stop(fmt.Sprintf("%.0f%% of the worth was served, at least %.0f%% has to be", 100*c.worth.Served/c.worth.Asked, 100*r.WorthLeast))
 	}
 	dwell, back := time.Duration(r.DwellMS)*time.Millisecond, time.Duration(r.BackMS)*time.Millisecond
+	// Orders that are meant come before all else: an owner before this one may have given them, and they may be on their way.
+	// Once a server has this one's it refuses the older.
+	ordered := func(m Member) bool { return m.Stage == GoingOut || m.Stage == GoingBack }
+	order := make([]int, 0, len(p.Members))
 	for i, m := range p.Members {
+		if ordered(m) {
+			order = append(order, i)
+		}
+	}
+	if len(order) == 0 {
+		for i := range p.Members {
+			order = append(order, i)
+		}
+	}
+	for _, i := range order {
+		m := p.Members[i]
 		at := now - c.since[m.Name]
 		s := seen[m.Name]
 		ready := s.Reachable && s.Ready && s.At > c.since[m.Name]
@@ -246,6 +261,9 @@
 			return to(i, Lost, p.Stopped)
 		}
 	}
+	if slices.ContainsFunc(p.Members, ordered) {
+		return Act{}
+	}
 	if p.Stopped != "" {
 		if !slices.ContainsFunc(p.Members, func(m Member) bool { return m.Stage.away() && m.Stage != Lost }) {
 			return Act{Kind: WriteDown, Write: Write{Item: it.ID, State: Failed, Note: p.Stopped}}
--- a/internal/fence/model_test.go
+++ b/internal/fence/model_test.go
@@ -49,7 +49,6 @@
 	actors  [2]actor
 	books   [2]map[string]Order
 	blank   [2]bool
-	did     [2]Order // in this start
 	out     [2]bool
 	orders  []order
 	highest lease.Epoch // of what took effect
@@ -89,7 +88,7 @@
 }
 
 func (s *state) key() string {
-	b, _ := json.Marshal([]any{s.duty, s.journal.Step, s.item, s.books, s.blank, s.did, s.out, s.highest, s.starts})
+	b, _ := json.Marshal([]any{s.duty, s.journal.Step, s.item, s.books, s.blank, s.out, s.highest, s.starts})
 	var x strings.Builder
 	x.Write(b)
 	for _, a := range s.actors {
@@ -167,17 +166,16 @@
 		b.Learn(o.Duty, s.duty.Epoch, s.journal.Step) // it asks the group
 		s.blank[o.server] = false
 	}
-	_, err := b.Judge(o.Order)
+	fresh, err := b.Judge(o.Order)
 	if err != nil && g.fence {
 		s.books[o.server] = b.Seen()
 		return
 	}
 	b.Note(o.Order)
 	s.books[o.server] = b.Seen()
-	if s.did[o.server] == o.Order {
+	if err == nil && !fresh {
 		return // it was done, and is not done again
 	}
-	s.did[o.server] = o.Order
 	if o.Epoch < s.highest && s.out[o.server] != (o.Act == "evacuate") {
 		s.harm = "an act of an old epoch after one of a newer one"
 	}
@@ -253,7 +251,7 @@
 		for i := range s.books {
 			add(func(n *state) { // it starts anew, in and serving
 				n.starts++
-				n.out[i], n.did[i] = false, Order{}
+				n.out[i] = false
 				n.books[i] = map[string]Order{}
 				n.blank[i] = g.durable // its book is lost: it asks the group, or trusts whoever comes
 			})
--- a/internal/lab/ownersim.go
+++ b/internal/lab/ownersim.go
@@ -64,7 +64,6 @@
 type simServer struct {
 	name  string
 	book  *fence.Book
-	did   fence.Order
 	out   bool
 	outs  int
 	up    time.Duration // it is there from then on
@@ -172,7 +171,7 @@
 	}
 	if s.chance(0.004) {
 		x := s.servers[s.rng.IntN(simServers)]
-		x.up, x.out, x.did = s.now+s.span(time.Second), false, fence.Order{}
+		x.up, x.out = s.now+s.span(time.Second), false
 		x.again++
 		if s.chance(0.3) {
 			x.book = fence.NewBook(nil, true) // its disk is lost too
@@ -350,14 +349,14 @@
 		}
 		x.book.Learn(o.Duty, s.state.Table.Duties[o.Duty].Epoch, s.state.Journal(o.Duty).Step)
 	}
-	if _, err := x.book.Judge(o); err != nil && !s.NoFence {
+	fresh, err := x.book.Judge(o)
+	if err != nil && !s.NoFence {
 		return false
 	}
 	x.book.Note(o)
-	if x.did == o {
+	if err == nil && !fresh {
 		return true
 	}
-	x.did = o
 	evacuate := o.Act == "evacuate"
 	if x.out != evacuate {
 		if o.Epoch < s.newest {
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -23,7 +23,6 @@
 
 	mu   sync.Mutex
 	file *fence.File
-	did  map[string]fence.Order // in this start: a copy that comes late does nothing
 }
 
 const learnWithin = 2 * time.Second
@@ -34,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Orders{Service: service, Group: g, Log: l, file: f, did: map[string]fence.Order{}}, nil
+	return &Orders{Service: service, Group: g, Log: l, file: f}, nil
 }
 
 // Take has an order done if it is newer than all that were seen, or says why not. That it was seen lasts before it is done.
@@ -64,18 +63,14 @@
 	if err != nil {
 		return false, err.Error()
 	}
-	if fresh {
-		if err := o.file.Keep(order, o.Service); err != nil {
-			return false, err.Error()
-		}
-	}
-	if o.did[duty] == order {
+	if !fresh {
+		// A copy, which does nothing: not after a start either, with which what it did has ended, as that may be long ago.
 		return true, "it was done before"
 	}
-	yes, why := do()
-	if yes {
-		o.did[duty] = order
+	if err := o.file.Keep(order, o.Service); err != nil {
+		return false, err.Error()
 	}
+	yes, why := do()
 	events.Say(o.Log, "orders.taken", act, duty, order.Epoch, step, why)
 	return yes, why
 }
