--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -895,6 +895,22 @@
 	for _, c := range clients {
 		c.Close()
 	}
+	// By now the log was made short more than once; what it came to outlives a loss of all power, and one started on an empty
+	// disk gets it whole.
+	for _, m := range g.Members {
+		m.Kill()
+	}
+	for i := range g.Members {
+		g.start(i)
+	}
+	g.awaitLeader()
+	if d := g.view().Table.Duties[duties.Watches]; d.Epoch != last {
+		t.Errorf("epoch %v after a start, was %v", d.Epoch, last)
+	}
+	s, err := g.Client.StatusOf(g.within(time.Second), g.Client.Addrs[g.awaitLeader()])
+	if err != nil || s.Applied < 4000 {
+		t.Errorf("%+v, %v", s, err)
+	}
 }
 
 // The owner's own process leads the group, and dies with it: another one goes on where it stopped.
--- a/internal/quorum/member/member.go
+++ b/internal/quorum/member/member.go
@@ -268,7 +268,7 @@
 		m.show()
 		if m.fatal != nil {
 			m.log.Error().Str("event", "group.stopped").Err(m.fatal).Send()
-			m.fail("the member stops")
+			m.fail()
 			return m.fatal
 		}
 	}
@@ -357,11 +357,11 @@
 	}
 	m.watch.Follow()
 	m.log.Info().Str("event", "group.follows").Send()
-	m.fail("another member leads")
+	m.fail()
 }
 
 // fail answers all that waits: nobody here can say what becomes of it.
-func (m *Member) fail(string) {
+func (m *Member) fail() {
 	for id, done := range m.waiting {
 		delete(m.waiting, id)
 		done(group.Result{}, false)
--- a/internal/quorum/member/words.go
+++ b/internal/quorum/member/words.go
@@ -209,7 +209,7 @@
 	m.vouch()
 }
 
-// lead answers for one that does not lead.
+// elsewhere answers for one that does not lead.
 func (m *Member) elsewhere() msgpackrpc.Verdict {
 	v := no(quorum.WordNotLeader, "member %s does not lead", m.cfg.Name)
 	if m.raw != nil {
