--- a/internal/lab/owner.go
+++ b/internal/lab/owner.go
@@ -688,7 +688,11 @@
 	gap = at - began.Sub(began.Truncate(24*time.Hour))
 	if what == "cut" {
 		lost, err := one.Await(10*time.Second, 0, "duty.lost")
-		two = err != nil || logTime(lost) > at
+		if two = err != nil; err == nil { // it says how long ago it had stopped, as it saw it
+			_, rest, _ := strings.Cut(lost, "ago=")
+			ms, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			two = logTime(lost)-time.Duration(ms*float64(time.Millisecond)) > at
+		}
 	}
 	one.Wake()
 	next.Leave()
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -25,6 +25,7 @@
 	told      time.Duration // when it was last answered
 	wish      bool          // it is to own it where it can
 	hand      bool          // it was asked to hand it on
+	ended     time.Duration // when it last ceased to own
 	over      Epoch         // it has let go of this one, or was refused by it: an answer from before says nothing
 }
 
@@ -37,12 +38,13 @@
 // State is what it is now. Who was not heard of in time owns nothing, whatever else it knows.
 func (h *Holder) State(now time.Duration) State {
 	if (h.state == Holding || h.state == Leaving) && now >= h.until {
-		h.lose()
+		h.lose(h.until)
 	}
 	return h.state
 }
 
-func (h *Holder) lose() {
+func (h *Holder) lose(at time.Duration) {
+	h.ended = at
 	h.epoch, h.until, h.hand = 0, 0, false
 	if h.state = Waiting; !h.wish {
 		h.state = Out
@@ -55,8 +57,8 @@
 	return h.epoch, h.State(now) == Holding
 }
 
-// Until is when it stops by itself.
-func (h *Holder) Until() time.Duration { return h.until }
+// Ended is when it last ceased to own the duty, which may be seen later.
+func (h *Holder) Ended() time.Duration { return h.ended }
 
 // Handing reports whether it was asked to hand the duty on, which it does between two acts by Leave.
 func (h *Holder) Handing() bool { return h.hand }
@@ -66,7 +68,7 @@
 	h.wish = stay
 	switch h.State(now) {
 	case Holding:
-		h.state, h.asked = Leaving, -1
+		h.state, h.asked, h.ended = Leaving, -1, now
 	case Waiting:
 		if !stay {
 			h.state = Out
@@ -107,12 +109,12 @@
 	case a.Op == Release:
 		h.over = max(h.over, a.Epoch)
 		if h.epoch == a.Epoch {
-			h.lose()
+			h.lose(now)
 		}
 	case d.Holder != h.Who || refused:
 		if d.Epoch >= h.epoch && (h.state == Holding || h.state == Leaving) {
 			h.over = max(h.over, h.epoch)
-			h.lose()
+			h.lose(now)
 		}
 	case d.Epoch < h.epoch || d.Epoch <= h.over: // an answer that was held on the way
 	case h.state == Waiting || h.state == Holding:
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -189,14 +189,15 @@
 		}
 		e, has := d.holder.Owns(now)
 		a, due := d.holder.Next(now)
+		ago := now - d.holder.Ended()
 		d.mu.Unlock()
 		if has != owned {
-			event := "duty.lost"
-			if has {
-				event = "duty.owned"
+			event, line := "duty.owned", d.log.Info()
+			if !has { // a loaded machine, or a stop, may have it seen late
+				event, line = "duty.lost", line.Dur("ago", ago)
 			}
 			owned = has
-			d.log.Info().Str("event", event).Stringer("epoch", e).Send()
+			line.Str("event", event).Stringer("epoch", e).Send()
 			d.cfg.Stats.Inc(strings.ReplaceAll(event, ".", "_"), d.name)
 		}
 		if st == lease.Out && leaving == nil {
