A word that is never answered ends its connection, so that lost answers stop no member

A connection carries 32 open words; what was lost stayed open on it, and from then on every message was dropped (peer.carry took ErrFull for a crowd). Ruled out: the ways, whose faults were taken back, and the library, which sent its requests for votes.

--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -1003,3 +1003,18 @@
 		t.Error("its clock did not stand still: the test shows nothing")
 	}
 }
+
+// That words have come is lost for some seconds, and nobody is told: what waits for it fills no connection up for good, and once
+// it gets through again there is a leader.
+func TestLostWords(t *testing.T) {
+	g := newGroup(t, 3)
+	for _, w := range g.Ways {
+		w.Set(faults.Back, faults.Fate{Lost: true})
+	}
+	time.Sleep(3 * time.Second)
+	for _, w := range g.Ways {
+		w.Set(faults.Back, faults.Fate{})
+	}
+	g.awaitLeader()
+	g.do(group.Command{Ask: &lease.Ask{Op: lease.Pause, Duty: duties.Watches}})
+}
--- a/internal/quorum/member/peer.go
+++ b/internal/quorum/member/peer.go
@@ -121,12 +121,15 @@
 			continue
 		}
 		m.stats.Add(uint64(len(list)), "group", "messages")
+		used := conn
 		go func() {
 			var a msgpackrpc.Reply
 			ok := false
 			select {
 			case a, ok = <-reply:
 			case <-time.After(quorum.WordWithin):
+				// Something on the way is lost: what is open on it would fill it up, and nothing would go out any more.
+				used.Close()
 			case <-ctx.Done():
 				return
 			}
