--- a/internal/duties/duties_test.go
+++ b/internal/duties/duties_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"silverpath/internal/cells"
 	"silverpath/internal/lease"
 )
 
@@ -161,3 +162,47 @@
 		}
 	}
 }
+
+// A plan that came too late has its place withdrawn, and the next one takes the place after it.
+func TestKeeperTooLate(t *testing.T) {
+	k := Keeper{Codec: Codec{
+		Format: func(m *cells.Map) []byte { b, _ := json.Marshal(m); return b },
+		Parse:  func(b []byte) (m *cells.Map, err error) { return m, json.Unmarshal(b, &m) },
+	}}
+	m := &cells.Map{Version: 4, Window: time.Second, Lease: time.Second, Patient: time.Second,
+		Cells:   []cells.Cell{{Name: "a", Capacity: 10}, {Name: "b", Capacity: 10}},
+		Servers: []cells.Server{{Name: "s", Addr: "x", Cell: "a", Weight: 1}, {Name: "u", Addr: "y", Cell: "b", Weight: 1}},
+		Tenants: []cells.Tenant{{Name: "t", Rate: 1, Homes: []cells.Home{{Cell: "a"}}}}}
+	raw := k.Codec.Format(m)
+	j := &Journal{Duty: MapKeeper, Doc: string(raw)}
+	j.Submit("m", KindMove, []byte(`{"tenant":"t","to":"b"}`))
+	tab := lease.NewTable(0)
+	tab.Duties[MapKeeper] = &lease.Duty{Name: MapKeeper, Epoch: 3, Holder: "o"}
+	h, now, did := Head{Map: m, Raw: raw, Top: 4}, time.UnixMilli(1e12), ""
+	for !j.Items[0].State.Over() {
+		a := k.Next(j, h, 3, now)
+		switch a.Kind {
+		case WriteDown:
+			a.Write.Duty, a.Write.Who, a.Write.Epoch, a.Write.Step = MapKeeper, "o", 3, j.Step+1
+			if err := j.Write(a.Write, tab); err != nil {
+				t.Fatal(err)
+			}
+			if did == "" {
+				now = now.Add(time.Hour) // it was stopped after its intent
+			}
+			if a.Write.State == Queued {
+				h.Place = nil
+			}
+			did += string(a.Write.State) + " "
+		case Withdraw:
+			h.Place, h.Top = []byte("withdrawn"), a.Version
+			did += fmt.Sprint("withdraw ", a.Version, " ")
+		case Publish:
+			h.Place, h.Top = a.Raw, a.Version
+			did += fmt.Sprint("publish ", a.Version, " ")
+		}
+	}
+	if want := "intent withdraw 5 queued intent publish 6 done "; did != want {
+		t.Errorf("%q, want %q", did, want)
+	}
+}
--- a/internal/duties/keeper.go
+++ b/internal/duties/keeper.go
@@ -33,6 +33,7 @@
 type Head struct {
 	Map   *cells.Map // nil: none yet
 	Raw   []byte     // as it stands there
+	Top   int        // the highest version whose place is taken, by a map or withdrawn
 	Place []byte     // what stands in the place of the plan's version; nil: nothing
 }
 
@@ -94,7 +95,7 @@
 		err = next.Check()
 	}
 	if err == nil {
-		next.Version, next.Epoch = h.Map.Version+1, epoch
+		next.Version, next.Epoch = max(h.Map.Version, h.Top)+1, epoch
 		err = next.Follows(h.Map, now)
 	}
 	if err != nil {
--- a/internal/fleet/series.go
+++ b/internal/fleet/series.go
@@ -76,6 +76,15 @@
 	return nil, nil, bad
 }
 
+// Top is the highest version whose place is taken, 0 for none.
+func (s Series) Top() (int, error) {
+	list, err := s.versions()
+	if err != nil || len(list) == 0 {
+		return 0, err
+	}
+	return list[len(list)-1], nil
+}
+
 // Place is what stands in the place of a version, nil for nothing.
 func (s Series) Place(version int) ([]byte, error) {
 	raw, err := os.ReadFile(s.name(version))
--- a/internal/lab/owner.go
+++ b/internal/lab/owner.go
@@ -755,7 +755,7 @@
 // ---- A rolling restart under load ----
 
 func rolls(b *testing.B, bin string) {
-	fmt.Println("\n| how | took | worth | others' lowest second | out at once |")
+	fmt.Println("\n| how | took | worth | lowest tenant | out at once |")
 	fmt.Println("|---|---|---|---|---|")
 	for _, how := range []string{"none", "all at once", "by hand, one after the other", "the conductor, 3 in all and 1 in a cell"} {
 		if err := oneRoll(b, bin, how); err != nil {
--- a/internal/lab/ownersim.go
+++ b/internal/lab/ownersim.go
@@ -257,6 +257,9 @@
 	m, raw := s.head()
 	if name == duties.MapKeeper {
 		h := duties.Head{Map: m, Raw: raw}
+		for v := range s.places {
+			h.Top = max(h.Top, v)
+		}
 		if it := j.Current(); it != nil && it.State == duties.Intent {
 			if plan, err := settings.ParseCells([]byte(it.Plan)); err == nil {
 				h.Place = s.places[plan.Version]
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -384,6 +384,9 @@
 			return duties.Act{}, fmt.Errorf("%w: by %v, skew_ms allows %v", errClock, off.Round(time.Millisecond), m.Skew)
 		}
 		h := duties.Head{Map: m, Raw: raw}
+		if h.Top, err = d.series.Top(); err != nil {
+			return duties.Act{}, err
+		}
 		if it != nil && it.State == duties.Intent {
 			if plan, err := settings.ParseCells([]byte(it.Plan)); err == nil {
 				if h.Place, err = d.series.Place(plan.Version); err != nil {
