--- a/internal/lab/owner.go
+++ b/internal/lab/owner.go
@@ -115,7 +115,7 @@
 
 func simulated(b *testing.B) {
 	n := uint64(number("SILVERPATH_SIMULATED", 100_000))
-	const parts = 4
+	const parts = 6
 	var wg sync.WaitGroup
 	var finished, handed atomic.Int64
 	began := time.Now()
