A roll counts as out whoever of the map is not there, and a hand-over waits for the act

Need, seen in reading the change again: Conductor.room counted only the roll's own members, though it was to count all of the map, and took what was seen of a server for true however old it was, as after a stop of the owner; and 'duty hand' let go in the middle of an act, where docs/duties.md says that it waits (owner.hold had no look at the act). Now servers that are no part of the roll count, nothing older than 3 s counts as seen, and an act holds a hand-over up.

--- a/internal/duties/conductor.go
+++ b/internal/duties/conductor.go
@@ -155,7 +155,7 @@
 		return fail("its progress can't be read: " + err.Error())
 	}
 	c.meet(it.ID, epoch, p, now)
-	return c.step(it, r, p, seen, now)
+	return c.step(it, r, p, servers, seen, now)
 }
 
 func begin(r Roll, servers []Member) (Progress, error) {
@@ -196,7 +196,7 @@
 }
 
 // step finds the first thing to do, what was begun before what is new.
-func (c *Conductor) step(it *Item, r Roll, p Progress, seen map[string]Seen, now time.Duration) Act {
+func (c *Conductor) step(it *Item, r Roll, p Progress, servers []Member, seen map[string]Seen, now time.Duration) Act {
 	to := func(i int, s Stage, note string) Act {
 		p.Members = slices.Clone(p.Members)
 		p.Members[i].Stage = s
@@ -281,31 +281,43 @@
 		return Act{}
 	}
 	for i, m := range p.Members {
-		if m.Stage == In && c.room(r, p, m, seen) {
+		if m.Stage == In && room(r, p, m, servers, seen, now) {
 			return to(i, GoingOut, "")
 		}
 	}
 	return Act{}
 }
 
-// room reports whether one more may go out. Who was not seen ready counts as out, whether this roll sent it or not.
-func (c *Conductor) room(r Roll, p Progress, next Member, seen map[string]Seen) bool {
+// freshFor is how long what was seen of a server says that it is there.
+const freshFor = 3 * time.Second
+
+// room reports whether one more may go out. Whoever was not seen ready of late counts as out: one that this roll sent, one of
+// the map that is no part of it, and all of them as an owner begins or wakes up.
+func room(r Roll, p Progress, next Member, servers []Member, seen map[string]Seen, now time.Duration) bool {
+	there := func(name string) bool {
+		s := seen[name]
+		return s.At > 0 && now-s.At <= freshFor && s.Reachable && s.Ready
+	}
+	if !there(next.Name) {
+		return false // it is not there to be sent out
+	}
 	all, cell := 0, 0
-	for _, m := range p.Members {
-		if m.Name == next.Name {
-			if s := seen[m.Name]; s.At == 0 || !s.Reachable || !s.Ready {
-				return false // it is not there to be sent out
-			}
-			continue
-		}
-		s := seen[m.Name]
-		if m.Stage.away() || s.At == 0 || !s.Reachable || !s.Ready {
+	count := func(m Member, away bool) {
+		if m.Name != next.Name && (away || !there(m.Name)) {
 			all++
 			if m.Cell == next.Cell {
 				cell++
 			}
 		}
 	}
+	for _, m := range p.Members {
+		count(m, m.Stage.away())
+	}
+	for _, m := range servers {
+		if m.Mgmt != "" && !slices.ContainsFunc(p.Members, func(o Member) bool { return o.Name == m.Name }) {
+			count(m, false)
+		}
+	}
 	return all < r.AllMost && cell < r.CellMost
 }
 
--- a/internal/duties/duties_test.go
+++ b/internal/duties/duties_test.go
@@ -206,3 +206,28 @@
 		t.Errorf("%q, want %q", did, want)
 	}
 }
+
+// Who is not there counts as out: one of the cell that is no part of the roll, and one that was seen long ago.
+func TestRoom(t *testing.T) {
+	servers := []Member{{Name: "s0", Cell: "a", Mgmt: "x"}, {Name: "s1", Cell: "a", Mgmt: "y"}, {Name: "s2", Cell: "b", Mgmt: "z"}}
+	p := Progress{Members: []Member{servers[0]}}
+	now := time.Minute
+	ready := Seen{At: now - time.Second, Reachable: true, Ready: true}
+	for name, c := range map[string]struct {
+		all  int
+		seen map[string]Seen
+		want bool
+	}{
+		"all there":                {1, map[string]Seen{"s0": ready, "s1": ready, "s2": ready}, true},
+		"another of the cell gone": {2, map[string]Seen{"s0": ready, "s1": {At: now}, "s2": ready}, false},
+		"one elsewhere gone":       {2, map[string]Seen{"s0": ready, "s1": ready, "s2": {At: now}}, true},
+		"and one in all":           {1, map[string]Seen{"s0": ready, "s1": ready, "s2": {At: now}}, false},
+		"never seen":               {2, map[string]Seen{"s0": ready, "s2": ready}, false},
+		"seen long ago":            {2, map[string]Seen{"s0": ready, "s1": {At: time.Second, Reachable: true, Ready: true}, "s2": ready}, false},
+		"itself not there":         {2, map[string]Seen{"s1": ready, "s2": ready}, false},
+	} {
+		if got := room(Roll{CellMost: 1, AllMost: c.all}, p, servers[0], servers, c.seen, now); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -137,6 +137,7 @@
 	log    zerolog.Logger
 	mu     sync.Mutex
 	holder *lease.Holder
+	acting bool // between its check and the end of its act
 	keeper duties.Keeper
 	leads  duties.Conductor
 	fails  int
@@ -152,6 +153,20 @@
 	return d.holder.Owns(d.clock())
 }
 
+// begin reports whether the duty is still owned; then it is not handed on by consent before finish.
+func (d *duty) begin() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, d.acting = d.holder.Owns(d.clock())
+	return d.acting
+}
+
+func (d *duty) finish() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.acting = false
+}
+
 // hold keeps the lease, whatever its work waits for.
 func (d *duty) hold(ctx context.Context) {
 	type told struct {
@@ -184,7 +199,7 @@
 		d.mu.Lock()
 		now := d.clock()
 		st := d.holder.State(now)
-		if st == lease.Holding && d.holder.Handing() {
+		if st == lease.Holding && d.holder.Handing() && !d.acting {
 			d.holder.Leave(now, true)
 		}
 		e, has := d.holder.Owns(now)
@@ -287,9 +302,10 @@
 		return false, nil
 	}
 	Boundary(d.name, "check", j.Step)
-	if _, has := d.owns(); !has {
+	if !d.begin() {
 		return false, nil // it was stopped for so long that it owns nothing any more
 	}
+	defer d.finish()
 	switch act.Kind {
 	case duties.WriteDown:
 		return true, d.write(ctx, j, epoch, act.Write)
