Three guards that no process test missed when they were out have a test each

Now the copy is from the middle of a start; TestStaleWrite stops an owner between its check and its word, with a successor that has written nothing; TestLatePublish has a version withdrawn before the stopped one wakes.

--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -233,13 +233,13 @@
 	if g.view().Table.Duties[duties.Conducts].Paused != "29" {
 		t.Error("what was agreed is gone")
 	}
-	// An older disk: copied, then more is agreed on, and the copy put back.
-	g.Members[x].Kill()
+	// An older disk: copied in the middle of a start, so that its number of starts tells nothing, then more is agreed on, and the
+	// copy is put back.
+	time.Sleep(200 * time.Millisecond) // nothing is written meanwhile
 	data, err := os.ReadFile(filepath.Join(g.Disk(x), "group.db"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	g.start(x)
 	for i := range 30 {
 		g.do(group.Command{Ask: &lease.Ask{Op: lease.Pause, Duty: duties.Conducts, Why: fmt.Sprint("b", i)}})
 	}
@@ -249,7 +249,7 @@
 		t.Fatal(err)
 	}
 	g.start(x)
-	if _, err := g.Members[x].Await(10*time.Second, 0, "this disk has no vote"); err != nil {
+	if _, err := g.Members[x].Await(10*time.Second, 0, "the disk is older than its words", "this disk has no vote"); err != nil {
 		t.Errorf("an older disk: %v", err)
 	}
 	if g.view().Table.Duties[duties.Conducts].Paused != "b29" {
@@ -1018,3 +1018,59 @@
 	g.awaitLeader()
 	g.do(group.Command{Ask: &lease.Ask{Op: lease.Pause, Duty: duties.Watches}})
 }
+
+// One that was stopped after it had seen that it owns the duty, and before its word in the journal, wakes when another one owns
+// it and has written nothing: the word is refused by its epoch, and not by its step alone.
+func TestStaleWrite(t *testing.T) {
+	g := newGroup(t, 3)
+	dir := testMap(t)
+	old := g.owner("old", dir, []string{duties.MapKeeper}, nil, "SILVERPATH_STOP_AT=keeper:write:1")
+	if _, err := old.Await(10*time.Second, 0, "duty.step"); err != nil { // it has taken the map up
+		t.Fatal(err)
+	}
+	g.submit(duties.MapKeeper, "m", duties.KindMove, duties.Move{Tenant: "t0", To: "b"})
+	if _, err := old.Await(10*time.Second, 0, "stopped at"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "another owner", 10*time.Second, func() bool {
+		r := g.do(group.Command{Ask: &lease.Ask{Op: lease.Acquire, Duty: duties.MapKeeper, Who: "next"}})
+		return r.Duty != nil && r.Duty.Holder == "next"
+	})
+	old.Wake()
+	if _, err := old.Await(10*time.Second, 0, "duty.refused", "stale epoch 1.1 of keeper"); err != nil {
+		t.Error(err)
+	}
+	if j := g.view().Journals[duties.MapKeeper]; j.Step != 1 || j.Item("m").State != duties.Queued {
+		t.Errorf("the journal is at step %d, the move is %s", j.Step, j.Item("m").State)
+	}
+}
+
+// One that was stopped before it published a version wakes when that came too late and its place was withdrawn: it stays so.
+func TestLatePublish(t *testing.T) {
+	g := newGroup(t, 3)
+	dir := testMap(t)
+	old := g.owner("old", dir, []string{duties.MapKeeper}, nil, "SILVERPATH_STOP_AT=keeper:intent:2")
+	g.submit(duties.MapKeeper, "m", duties.KindMove, duties.Move{Tenant: "t0", To: "b"})
+	if _, err := old.Await(10*time.Second, 0, "stopped at"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1300 * time.Millisecond) // too late to be announced a lease ahead
+	g.do(group.Command{Ask: &lease.Ask{Op: lease.Pause, Duty: duties.MapKeeper, Why: "nothing new"}})
+	next := g.owner("next", dir, []string{duties.MapKeeper}, nil)
+	if _, err := next.Await(10*time.Second, 0, "map.withdraw", "version=2"); err != nil {
+		t.Fatal(err)
+	}
+	from := old.Lines()
+	old.Wake()
+	if _, err := old.Await(10*time.Second, from, "duty.lost"); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if m, _, err := (fleet.Series{Dir: dir}).Head(); err != nil || m.Version != 1 {
+		t.Errorf("version %d was published by one that woke, %v", m.Version, err)
+	}
+	g.do(group.Command{Ask: &lease.Ask{Op: lease.Resume, Duty: duties.MapKeeper}})
+	if it := g.over(duties.MapKeeper, "m", 10*time.Second); it.State != duties.Done || it.Note != "version 3" {
+		t.Errorf("%s: %s", it.State, it.Note)
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -39,8 +39,9 @@
 	Rate  float64 // of its clock, for tests; 0: 1
 }
 
-// Boundary is called at every boundary of an act, in test programs only, which stop the process there: check (it has seen
-// that it owns the duty), intent (written), act (made, and its outcome not written).
+// Boundary is called at every boundary of an act, in test programs only, which stop the process there: check (before it looks
+// whether it still owns the duty), write (after that, before a word in the journal), intent (written), act (made, and its
+// outcome not written).
 var Boundary = func(duty, at string, step uint64) {}
 
 // Wall is the clock by which maps are made, in test programs another one.
@@ -308,6 +309,7 @@
 	defer d.finish()
 	switch act.Kind {
 	case duties.WriteDown:
+		Boundary(d.name, "write", j.Step)
 		return true, d.write(ctx, j, epoch, act.Write)
 	case duties.Publish, duties.Withdraw:
 		Boundary(d.name, "intent", j.Step)
