--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -1074,3 +1074,51 @@
 		t.Errorf("%s: %s", it.State, it.Note)
 	}
 }
+
+// A leader that was stopped while another one was elected, and hears nobody as it wakes, takes itself for the leader for a
+// while: what it is asked in that time it does not answer, neither a read nor a renewal.
+func TestStaleLeader(t *testing.T) {
+	g := newGroup(t, 3)
+	write := func(why string) {
+		g.do(group.Command{Ask: &lease.Ask{Op: lease.Pause, Duty: duties.Watches, Why: why}})
+	}
+	write("old")
+	g.do(group.Command{Ask: &lease.Ask{Op: lease.Acquire, Duty: duties.Watches, Who: "holder"}})
+	for range 5 {
+		lead := g.awaitLeader()
+		write("old")
+		g.Members[lead].Freeze()
+		g.Ways[lead].Cut(true)
+		write("new") // by another one
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		for range 4 { // some are there as it wakes
+			wg.Go(func() {
+				direct := &quorum.Client{Group: "test", Addrs: []string{g.Addrs[lead]}}
+				defer direct.Close()
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+					if v, err := direct.Read(ctx, ""); err == nil && v.Table.Duties[duties.Watches].Paused != "new" {
+						t.Errorf("a leader of the past answers %q", v.Table.Duties[duties.Watches].Paused)
+					}
+					r, err := direct.Do(ctx, group.Command{Ask: &lease.Ask{Op: lease.Renew, Duty: duties.Watches, Who: "holder", Epoch: lease.First(1) + 1}})
+					if err == nil && r.Error == "" {
+						t.Error("a leader of the past renews a lease")
+					}
+					cancel()
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		g.Members[lead].Wake()
+		time.Sleep(500 * time.Millisecond)
+		close(stop)
+		wg.Wait()
+		g.Ways[lead].Cut(false)
+	}
+}
