--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -8,8 +8,8 @@
 	"fmt"
 	"hash/crc32"
 	"os"
-	"path/filepath"
 
+	"silverpath/internal/lasting"
 	"silverpath/internal/lease"
 )
 
@@ -83,7 +83,6 @@
 type File struct {
 	*Book
 	path string
-	sync func(*os.File) error
 }
 
 type stored struct {
@@ -94,7 +93,7 @@
 // Open reads the book of a service. One that is not there is blank; one that can't be trusted is an error that names it,
 // and nothing is written over it.
 func Open(path, service string) (*File, error) {
-	f := &File{path: path, sync: (*os.File).Sync}
+	f := &File{path: path}
 	data, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
 		f.Book = NewBook(nil, true)
@@ -114,7 +113,6 @@
 		return nil, fmt.Errorf("%s: of another service, %q: set it aside", path, s.Service)
 	}
 	f.Book = NewBook(s.Seen, true) // of a duty that it never heard of it asks too
-	f.path = path
 	return f, nil
 }
 
@@ -126,25 +124,7 @@
 	if err != nil {
 		return err
 	}
-	tmp, err := os.CreateTemp(filepath.Dir(f.path), filepath.Base(f.path)+".next")
-	if err != nil {
-		return fmt.Errorf("noting an order: %w", err)
-	}
-	defer os.Remove(tmp.Name())
-	_, err = tmp.Write(append(fmt.Appendf(nil, "%08x\n", crc32.ChecksumIEEE(body)), body...))
-	if err == nil {
-		err = f.sync(tmp)
-	}
-	if err = errors.Join(err, tmp.Close()); err == nil {
-		err = os.Rename(tmp.Name(), f.path)
-	}
-	if err == nil {
-		var dir *os.File
-		if dir, err = os.Open(filepath.Dir(f.path)); err == nil {
-			err = errors.Join(f.sync(dir), dir.Close())
-		}
-	}
-	if err != nil {
+	if err := lasting.Put(f.path, append(fmt.Appendf(nil, "%08x\n", crc32.ChecksumIEEE(body)), body...), os.Rename); err != nil {
 		return fmt.Errorf("noting an order: %w", err)
 	}
 	f.Book = next
--- a/internal/fence/model_test.go
+++ b/internal/fence/model_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"silverpath/internal/duties"
+	"silverpath/internal/lasting"
 	"silverpath/internal/lease"
 )
 
@@ -328,7 +329,9 @@
 	if _, err := Open(path, "s2"); err == nil || !strings.Contains(err.Error(), `of another service, "s1"`) {
 		t.Error(err)
 	}
-	f.sync = func(*os.File) error { return errors.New("full") }
+	sync := lasting.Sync
+	defer func() { lasting.Sync = sync }()
+	lasting.Sync = func(*os.File) error { return errors.New("full") }
 	if err := f.Keep(Order{"d", 6, 1, "rejoin"}, "s1"); err == nil {
 		t.Error("kept without a sync")
 	}
--- a/internal/fleet/series.go
+++ b/internal/fleet/series.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"silverpath/internal/cells"
+	"silverpath/internal/lasting"
 	"silverpath/internal/settings"
 )
 
@@ -99,22 +100,8 @@
 	if raw == nil {
 		raw = withdrawn
 	}
-	f, err := os.CreateTemp(s.Dir, ".next")
-	if err != nil {
-		return fmt.Errorf("version %d: %w", version, err)
-	}
-	defer os.Remove(f.Name())
-	_, err = f.Write(raw)
-	if err == nil {
-		err = f.Chmod(0o644)
-	}
-	if err == nil {
-		err = f.Sync()
-	}
-	if err = errors.Join(err, f.Close()); err != nil {
-		return fmt.Errorf("version %d: %w", version, err)
-	}
-	if err = os.Link(f.Name(), s.name(version)); errors.Is(err, os.ErrExist) {
+	err := lasting.Put(s.name(version), raw, os.Link)
+	if errors.Is(err, os.ErrExist) {
 		there, err := s.Place(version)
 		if err == nil && !bytes.Equal(there, raw) {
 			err = fmt.Errorf("version %d: %w", version, ErrTaken)
@@ -124,14 +111,6 @@
 	if err != nil {
 		return fmt.Errorf("version %d: %w", version, err)
 	}
-	dir, err := os.Open(s.Dir)
-	if err != nil {
-		return err
-	}
-	defer dir.Close()
-	if err := dir.Sync(); err != nil {
-		return fmt.Errorf("version %d: %w", version, err)
-	}
 	s.forget(version)
 	return nil
 }
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -5,12 +5,12 @@
 	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
 	"go.etcd.io/bbolt"
 
 	"silverpath/internal/cells"
+	"silverpath/internal/lasting"
 	"silverpath/internal/settings"
 )
 
@@ -133,27 +133,5 @@
 
 // Write replaces a map's file as a whole: whoever reads it finds the old one or the new one, after a loss of power too.
 func Write(path string, m *cells.Map) error {
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".next")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(f.Name()) // of one that did not take its place
-	_, err = f.Write(settings.FormatCells(m))
-	if err == nil {
-		err = f.Chmod(0o644)
-	}
-	if err == nil {
-		err = f.Sync()
-	}
-	if err = errors.Join(err, f.Close()); err != nil {
-		return err
-	}
-	if err := os.Rename(f.Name(), path); err != nil {
-		return err
-	}
-	if dir, err := os.Open(filepath.Dir(path)); err == nil {
-		defer dir.Close()
-		dir.Sync()
-	}
-	return nil
+	return lasting.Put(path, settings.FormatCells(m), os.Rename)
 }
--- a/internal/settings/cells.go
+++ b/internal/settings/cells.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
@@ -14,14 +13,11 @@
 
 // ParseCells reads a cell map and checks it whole.
 func ParseCells(data []byte) (*cells.Map, error) {
-	v, err := fastjson.ParseBytes(data)
+	var err error
+	f := object(data, &err)
 	if err != nil {
-		return nil, fmt.Errorf("not JSON: %w", err)
-	}
-	if v.Type() != fastjson.TypeObject {
-		return nil, errors.New("not a JSON object")
+		return nil, err
 	}
-	f := fields{"", v, &err}
 	f.only("version", "epoch", "window_ms", "skew_ms", "lease_ms", "patience_ms", "cells", "servers", "tenants")
 	ms := func(key string) time.Duration { return time.Duration(f.integer(key)) * time.Millisecond }
 	m := &cells.Map{
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -90,18 +90,15 @@
 }
 
 func parseConfig(data []byte, name, listen string, router bool) (Config, error) {
-	v, err := fastjson.ParseBytes(data)
+	var err error
+	f := object(data, &err)
 	if err != nil {
-		return Config{}, fmt.Errorf("not JSON: %w", err)
+		return Config{}, err
 	}
-	if v.Type() != fastjson.TypeObject {
-		return Config{}, errors.New("not a JSON object")
-	}
-	f := fields{"", v, &err}
 	limits, s, agent := f.object("limits"), f.object("scgi"), f.object("snmp")
 	c := Config{
 		Name: f.text("name"), Listen: f.text("listen"), VM: f.text("vm"), Announce: f.text("announce"),
-		Vault: f.text("vault"), Mgmt: f.text("mgmt"), shape: shapeOf(v), Stop: time.Duration(f.integer("stop_ms")) * time.Millisecond,
+		Vault: f.text("vault"), Mgmt: f.text("mgmt"), shape: shapeOf(f.v), Stop: time.Duration(f.integer("stop_ms")) * time.Millisecond,
 		MemoryMB: limits.number("memory_mb"), Sockets: int(limits.integer("sockets")),
 		SCGI: SCGI{
 			Listen: s.text("listen"), Upstream: s.text("upstream"), MaxBody: int(s.integer("max_body")),
@@ -131,7 +128,7 @@
 	if c.Listen == "" {
 		c.Listen = listen
 	}
-	return c, c.complete(v, router)
+	return c, c.complete(f.v, router)
 }
 
 // complete sets defaults and names the first field that no service can do with.
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -58,17 +58,14 @@
 // ParseEdge reads an edge file. It is checked whole: a field that is not known is an error, as the file is nobody
 // else's.
 func ParseEdge(data []byte, site silverpath.Settings) (Edge, error) {
-	v, err := fastjson.ParseBytes(data)
+	var err error
+	f := object(data, &err)
 	if err != nil {
-		return Edge{}, fmt.Errorf("not JSON: %w", err)
+		return Edge{}, err
 	}
-	if v.Type() != fastjson.TypeObject {
-		return Edge{}, errors.New("not a JSON object")
-	}
-	f := fields{"", v, &err}
 	f.only("status", "cell", "pools", "limit", "memory", "reserve", "fleet", "orders")
 	e := Edge{On: true, Status: true}
-	if v.Exists("status") {
+	if f.v.Exists("status") {
 		e.Status = f.flag("status")
 	}
 	e.Cell = f.flag("cell")
--- a/internal/settings/quorum.go
+++ b/internal/settings/quorum.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -58,14 +57,11 @@
 
 // ParseQuorum reads the text of such a file.
 func ParseQuorum(data []byte) (Quorum, error) {
-	v, err := fastjson.ParseBytes(data)
+	var err error
+	f := object(data, &err)
 	if err != nil {
-		return Quorum{}, fmt.Errorf("not JSON: %w", err)
-	}
-	if v.Type() != fastjson.TypeObject {
-		return Quorum{}, errors.New("not a JSON object")
+		return Quorum{}, err
 	}
-	f := fields{"", v, &err}
 	f.only("name", "group", "members", "member", "owner", "log")
 	ms := func(f fields, key string, def time.Duration) time.Duration {
 		if f.get(key, fastjson.TypeNumber) == nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"time"
@@ -20,6 +21,18 @@
 	err  *error
 }
 
+// object parses the text of a JSON object. Err gets the first error, now or as its members are read.
+func object(data []byte, err *error) fields {
+	v, bad := fastjson.ParseBytes(data)
+	switch {
+	case bad != nil:
+		*err = fmt.Errorf("not JSON: %w", bad)
+	case v.Type() != fastjson.TypeObject:
+		*err = errors.New("not a JSON object")
+	}
+	return fields{"", v, err}
+}
+
 func (f fields) fail(key, format string, args ...any) {
 	if *f.err == nil {
 		*f.err = fmt.Errorf("%s%s: %s", f.path, key, fmt.Sprintf(format, args...))
