--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -1122,3 +1122,44 @@
 		g.Ways[lead].Cut(false)
 	}
 }
+
+// A member reaches some members and not others: while one of them reaches a majority there is an owner's work, whoever leads.
+func TestPartlyCut(t *testing.T) {
+	g := newGroup(t, 3)
+	dir := testMap(t)
+	g.owner("o", dir, []string{duties.MapKeeper}, nil)
+	ids := make([]string, 3) // as members name themselves in their words
+	for i, a := range g.Client.Addrs {
+		s, err := g.Client.StatusOf(g.within(time.Second), a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := strconv.ParseUint(s.ID, 16, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ids[i] = strconv.FormatUint(n, 10)
+	}
+	apart := func(x, y int, cut bool) {
+		g.Ways[x].Set(faults.There, faults.Fate{Lost: cut, Of: ids[y]})
+		g.Ways[y].Set(faults.There, faults.Fate{Lost: cut, Of: ids[x]})
+	}
+	for round := range 3 {
+		lead := g.awaitLeader()
+		x, y := (lead+1)%3, (lead+2)%3
+		if round == 2 {
+			x, y = lead, (lead+1)%3 // the one that leads is left with the third
+		}
+		apart(x, y, true)
+		time.Sleep(700 * time.Millisecond) // over an election
+		id := fmt.Sprint("m", round)
+		g.submit(duties.MapKeeper, id, duties.KindMove, duties.Move{Tenant: fmt.Sprint("t", round), To: "b"})
+		if it := g.over(duties.MapKeeper, id, 15*time.Second); it.State != duties.Done {
+			t.Errorf("%s: %s", it.State, it.Note)
+		}
+		apart(x, y, false)
+	}
+	if head, _, err := (fleet.Series{Dir: dir}).Head(); err != nil || head.Version != 4 {
+		t.Errorf("version %d, %v", head.Version, err)
+	}
+}
--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -24,6 +25,7 @@
 
 // Fate is what becomes of what is said in a direction. The zero value passes it on.
 type Fate struct {
+	Of    string        // only of messages that have this text in them; empty: of all
 	Lost  bool          // it goes nowhere, and nobody is told
 	Held  bool          // it waits until it is no longer held
 	Delay time.Duration // at most; drawn for each message
@@ -206,7 +208,7 @@
 			b.first = append(b.first, m)
 			b.mu.Unlock()
 		}
-		lost, twice, swap := b.fateOf(w)
+		lost, twice, swap := b.fateOf(w, m)
 		switch {
 		case lost:
 			continue
@@ -229,13 +231,16 @@
 }
 
 // fateOf waits as long as what is said is held, or delayed, and draws what becomes of it.
-func (b *Between) fateOf(w Way) (lost, twice, swap bool) {
+func (b *Between) fateOf(w Way, m []byte) (lost, twice, swap bool) {
 	for {
 		b.mu.Lock()
 		f, freed, over := b.fate[w], b.freed, b.over
 		delay := time.Duration(b.rng.Float64() * float64(f.Delay))
 		twice, swap = b.rng.Float64() < f.Twice, b.rng.Float64() < f.Swap
 		b.mu.Unlock()
+		if f.Of != "" && !bytes.Contains(m, []byte(f.Of)) {
+			return false, false, false
+		}
 		if f.Held && !over {
 			<-freed
 			continue
--- a/internal/standin/faults/faults_test.go
+++ b/internal/standin/faults/faults_test.go
@@ -73,6 +73,12 @@
 	b.Set(There, Fate{})
 	comes(held, true)
 	<-got
+	b.Set(There, Fate{Lost: true, Of: "bad"})
+	comes(say("good"), true)
+	comes(say("a bad one"), false)
+	if s := <-got; s != "good" {
+		t.Error(s)
+	}
 	b.Set(There, Fate{Twice: 1})
 	comes(say("4"), true)
 	<-got
