Routers and servers name the version and digest of their map, and fence sheets by it

Lines at fault: fleet.Runner.Reload and refresh take each reading for the newest; nothing on the wire said which map a sheet was routed by.

A health check now names the router's map, and hears what the server knows; a sheet names the map that it was routed by, and nothing begins by one that is over or contradicted (internal/rulebook.Seen, checked in keyTable.enter). Also found: a router that was away past a move could take up no newer map ever again, as cells.Follows asked for a lease's notice from the reading; it now asks from when the old map was last known to be the newest.

--- a/cmd/silverpath/fleet_test.go
+++ b/cmd/silverpath/fleet_test.go
@@ -52,7 +52,13 @@
 // spawn starts the program and waits until it serves.
 func spawn(t testing.TB, args ...string) *process {
 	t.Helper()
-	p := &process{Process: begin(t, args)}
+	return spawnIn(t, nil, args...)
+}
+
+// spawnIn does so in an environment with more.
+func spawnIn(t testing.TB, env []string, args ...string) *process {
+	t.Helper()
+	p := &process{Process: begin(t, args, env...)}
 	if _, err := p.Await(30*time.Second, 0, "phase serving"); err != nil {
 		t.Fatalf("%v: %v", args, err)
 	}
@@ -143,41 +149,81 @@
 	}
 }
 
-// A tenant moves under load, with repeats of every sheet by either router; half way a server of its old cell is killed and
-// comes back cold under its name and address, and a router is killed and started anew; then the move is aborted. No sheet
-// runs twice, no history but that of one run comes out, and nothing that ran is refused.
-func TestMoveUnderFire(t *testing.T) {
-	names, cellOf := []string{"s1", "s2", "s3", "s4"}, map[string]string{"s1": "a", "s2": "a", "s3": "b", "s4": "b"}
-	m := &cells.Map{
-		Version: 1, Window: sheetWindow, Skew: 200 * time.Millisecond, Lease: 900 * time.Millisecond, Patient: time.Second,
-		Cells:   []cells.Cell{{Name: "a", Capacity: 1000}, {Name: "b", Capacity: 1000}},
-		Tenants: []cells.Tenant{{Name: "brand", Rate: 10, Homes: []cells.Home{{Cell: "a"}}}},
+// testFleet is four servers in two cells, each with a machine of its own that knows what it ran. Its map has one tenant, in
+// cell a.
+type testFleet struct {
+	t        testing.TB
+	names    []string
+	machines map[string]*standin.Interpreter
+	servers  map[string]*process
+	files    map[string]string
+	edge     string
+	Map      *cells.Map
+}
+
+func newFleet(t testing.TB, window time.Duration, env ...string) *testFleet {
+	t.Helper()
+	f := &testFleet{
+		t: t, names: []string{"s1", "s2", "s3", "s4"}, machines: map[string]*standin.Interpreter{}, servers: map[string]*process{},
+		files: map[string]string{}, edge: write(t, "cell.json", `{"cell":true}`),
+		Map: &cells.Map{
+			Version: 1, Window: window, Skew: 200 * time.Millisecond, Lease: 900 * time.Millisecond, Patient: time.Second,
+			Cells:   []cells.Cell{{Name: "a", Capacity: 1000}, {Name: "b", Capacity: 1000}},
+			Tenants: []cells.Tenant{{Name: "brand", Rate: 10, Homes: []cells.Home{{Cell: "a"}}}},
+		},
 	}
-	cellEdge := write(t, "cell.json", `{"cell":true}`)
-	machines, servers, files := map[string]*standin.Interpreter{}, map[string]*process{}, map[string]string{}
-	for n, name := range names {
+	for n, name := range f.names {
 		i, err := standin.Listen(standin.Config{Listen: "127.0.0.1:0", Cores: 8, Shape: standin.Shape{Knee: 8, Speed: 1}, Audit: true,
 			Other: standin.Class{Least: 2 * time.Millisecond, Most: 60 * time.Millisecond}, RunFactor: 1, Seed: uint64(n + 1)})
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(i.Close)
-		machines[name], files[name] = i, siteFile(t, name, i.Addr())
-		servers[name] = spawn(t, "serve", "--config", files[name], "--edge", cellEdge)
+		f.machines[name], f.files[name] = i, siteFile(t, name, i.Addr())
+		f.servers[name] = spawnIn(t, env, "serve", "--config", f.files[name], "--edge", f.edge)
 	}
 	entered := time.Now().UnixMilli() + 1
-	for _, name := range names {
-		m.Servers = append(m.Servers, cells.Server{Name: name, Addr: servers[name].addr, Cell: cellOf[name], Weight: 1, From: entered})
+	for n, name := range f.names {
+		f.Map.Servers = append(f.Map.Servers, cells.Server{Name: name, Addr: f.servers[name].addr, Cell: string('a' + rune(n/2)), Weight: 1, From: entered})
 	}
-	mapFile := filepath.Join(t.TempDir(), "cells.json")
-	if err := fleet.Write(mapFile, m); err != nil {
-		t.Fatal(err)
+	return f
+}
+
+// write puts a map into a file of its own.
+func (f *testFleet) write(m *cells.Map) string {
+	f.t.Helper()
+	path := filepath.Join(f.t.TempDir(), "cells.json")
+	if err := fleet.Write(path, m); err != nil {
+		f.t.Fatal(err)
 	}
-	routerFile := siteFile(t, "router", "")
-	router := func(state string) *process {
-		return spawn(t, "route", "--config", routerFile, "--edge", write(t, "route.json", fmt.Sprintf(
-			`{"fleet":{"map":%q,"state":%q,"probe_ms":100}}`, mapFile, state)))
+	return path
+}
+
+// route starts a router on a map's file; its state may be empty.
+func (f *testFleet) route(name, mapFile, state string, env ...string) *process {
+	f.t.Helper()
+	return spawnIn(f.t, env, "route", "--config", siteFile(f.t, name, ""), "--edge", write(f.t, "route.json", fmt.Sprintf(
+		`{"status":true,"fleet":{"map":%q,"state":%q,"probe_ms":100}}`, mapFile, state)))
+}
+
+// ran counts how often each body ran, on all machines.
+func (f *testFleet) ran() map[string]int {
+	runs := map[string]int{}
+	for _, i := range f.machines {
+		for body, n := range i.Runs() {
+			runs[body] += n
+		}
 	}
+	return runs
+}
+
+// A tenant moves under load, with repeats of every sheet by either router; half way a server of its old cell is killed and
+// comes back cold under its name and address, and a router is killed and started anew; then the move is aborted. No sheet
+// runs twice, no history but that of one run comes out, and nothing that ran is refused.
+func TestMoveUnderFire(t *testing.T) {
+	f := newFleet(t, sheetWindow)
+	machines, servers, files, mapFile := f.machines, f.servers, f.files, f.write(f.Map)
+	router := func(state string) *process { return f.route("router", mapFile, state) }
 	states := []string{filepath.Join(t.TempDir(), "r0.db"), filepath.Join(t.TempDir(), "r1.db")}
 	var mu sync.Mutex
 	routers := []*process{router(states[0]), router(states[1])}
@@ -242,7 +288,7 @@
 	routers[1] = again
 	mu.Unlock()
 	time.Sleep(200 * time.Millisecond)
-	servers["s1"] = spawn(t, "serve", "--config", files["s1"], "--edge", cellEdge, "--listen", servers["s1"].addr)
+	servers["s1"] = spawn(t, "serve", "--config", files["s1"], "--edge", f.edge, "--listen", servers["s1"].addr)
 	for _, name := range []string{"s3", "s4"} { // the target can't carry it after all
 		machines[name].Play([]standin.Trouble{{Speed: 0.2, For: 3 * time.Second}})
 	}
@@ -250,12 +296,7 @@
 	time.Sleep(4 * time.Second)
 	close(stop)
 	wg.Wait()
-	runs := map[string]int{}
-	for _, i := range machines {
-		for body, n := range i.Runs() {
-			runs[body] += n
-		}
-	}
+	runs := f.ran()
 	for body, n := range runs {
 		if n > 1 {
 			t.Errorf("%s ran %d times", body, n)
--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -18,6 +18,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"silverpath/internal/cells"
+	"silverpath/internal/core"
 	"silverpath/internal/duties"
 	"silverpath/internal/fleet"
 	"silverpath/internal/group"
@@ -53,6 +54,17 @@
 	if by, err := time.ParseDuration(os.Getenv("SILVERPATH_WALL")); err == nil {
 		owner.Wall = func() time.Time { return time.Now().Add(by) }
 	}
+	core.Unfenced = os.Getenv("SILVERPATH_UNFENCED") != ""
+	if os.Getenv("SILVERPATH_STOP_ROUTED") != "" {
+		var once atomic.Bool
+		fleet.Boundary = func(at string) {
+			if once.CompareAndSwap(false, true) {
+				fmt.Fprintln(os.Stderr, "stopped", at)
+				syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+	}
 	if rate, err := strconv.ParseFloat(os.Getenv("SILVERPATH_CLOCK"), 64); err == nil {
 		member.Clocks = rate
 	}
--- a/internal/cells/cells.go
+++ b/internal/cells/cells.go
@@ -155,7 +155,11 @@
 // Follows reports, naming the field, why another map can't take this one's place now. What has been in force can't be
 // changed, since keys have run where it sent them; what is to come must be announced a lease ahead, so that whoever
 // has not heard of it sends no more sheets by the time it holds.
-func (m *Map) Follows(old *Map, now time.Time) error {
+func (m *Map) Follows(old *Map, now time.Time) error { return m.FollowsLate(old, now, now) }
+
+// FollowsLate is Follows for one that last knew the old map to be the newest at a time, and has sent no sheets by it for more
+// than a lease after that: what was announced a lease ahead of then holds for it too, however late it hears of it.
+func (m *Map) FollowsLate(old *Map, known, now time.Time) error {
 	if m.Version == old.Version && len(Diff(old, m)) == 0 {
 		return nil
 	}
@@ -171,7 +175,7 @@
 	if m.Skew != old.Skew || m.Lease != old.Lease {
 		return fmt.Errorf("lease_ms: neither it nor skew_ms may change under way")
 	}
-	least := now.Add(m.Lease + m.Skew).UnixMilli()
+	least := known.Add(m.Lease + m.Skew).UnixMilli()
 	kept := now.Add(-m.dual()).UnixMilli() // what ended before may be left out
 	for i, t := range m.Tenants {
 		was := old.tenant(t.Name, true)
@@ -188,7 +192,7 @@
 			continue
 		}
 		for j, h := range was.Homes {
-			ended := j+1 < len(was.Homes) && was.Homes[j+1].From < kept
+			ended := j+1 < len(was.Homes) && was.Homes[j+1].From < kept || t.Homes[0].From >= least && t.Homes[0].From < kept
 			if !slices.Contains(t.Homes, h) && !ended && h.From < least {
 				return fmt.Errorf("tenants[%d].homes: %q was in %q, which can't be undone: append a home", i, t.Name, h.Cell)
 			}
@@ -217,7 +221,8 @@
 		}
 	}
 	for _, s := range old.Servers {
-		if m.Server(s.Name) == nil && (s.Until == 0 || s.Until >= kept) {
+		// One that had left before what may be left out, by a map that was never heard of, is not missed.
+		if m.Server(s.Name) == nil && (s.Until == 0 && least >= kept || s.Until >= kept) {
 			return fmt.Errorf("servers: %q is gone, and its keys may come again: set until_ms", s.Name)
 		}
 	}
--- a/internal/cells/cells_test.go
+++ b/internal/cells/cells_test.go
@@ -292,3 +292,36 @@
 		}
 	})
 }
+
+// A router that was away takes up what was announced in time for it, however late it hears of it, and what was pruned since; it
+// does not take what began while it may have sent by the old map.
+func TestFollowsLate(t *testing.T) {
+	m := fleet(12)
+	p, err := m.PlanMove(t0, "kvizmojster", "b", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	week := t0.Add(7 * 24 * time.Hour)
+	pruned, err := p.Next.PlanMove(week, "kvizmojster", "a", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := week.Add(24 * time.Hour)
+	if next := pruned.Next; next.FollowsLate(m, t0, late) != nil || p.Next.FollowsLate(m, t0, late) != nil {
+		t.Errorf("announced in time: %v, %v", next.FollowsLate(m, t0, late), p.Next.FollowsLate(m, t0, late))
+	}
+	if p.Next.Follows(m, late) == nil || p.Next.FollowsLate(m, late, late) == nil {
+		t.Error("a move is taken up that began while the old map was in force")
+	}
+	gone := *m
+	gone.Version++
+	gone.Servers = gone.Servers[1:]
+	if gone.FollowsLate(m, t0, t0) == nil || gone.FollowsLate(m, t0, late) != nil {
+		t.Errorf("a server that is left out: %v, %v", gone.FollowsLate(m, t0, t0), gone.FollowsLate(m, t0, late))
+	}
+	back := *m
+	back.Version--
+	if back.FollowsLate(m, t0, late) == nil {
+		t.Error("an older map is taken up")
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"silverpath/internal/events"
 	"silverpath/internal/phase"
 	"silverpath/internal/pools"
+	"silverpath/internal/rulebook"
 	"silverpath/internal/stats"
 )
 
@@ -45,6 +46,8 @@
 	Body          []byte
 	// Known asks for a sheet only where it is known here: see Why.
 	Known bool
+	// Rules names the document by which a router has sent a sheet here, and Source where that came from; both may be empty.
+	Rules, Source string
 }
 
 // Answer is a final answer.
@@ -61,6 +64,10 @@
 	WhyUnknown = "unknown" // a sheet that was asked for only if known is not, and will not be run here within its window
 	WhyMoved   = "moved"   // the sheet belongs elsewhere: its key was asked for, and was not known
 	WhyBoot    = "boot"    // meant for an earlier start of this service
+	// The router's rules can't be acted on: the names of verdicts in the package rulebook.
+	WhyBehind       = "behind"
+	WhyContradicted = "contradicted"
+	WhyQuiet        = "quiet"
 )
 
 // Runner does the work of requests. Its methods never block; what becomes of a run is told by Core.Ended and,
@@ -140,7 +147,8 @@
 	gauges    silverpath.Gauges
 	ticking   bool // a tick waits for its gauges
 	swept     time.Time
-	guard     *guard // nil: no pools
+	guard     *guard        // nil: no pools
+	rules     rulebook.Seen // what routers have named
 	looked    time.Duration
 	saidLimit float64
 	saidAt    time.Duration
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -99,6 +99,10 @@
 			return true
 		}
 	}
+	if t.barred != "" { // what is known here was answered above
+		t.elsewhere = t.barred
+		return true
+	}
 	if e != nil && now.Before(e.moved) && !t.Known {
 		t.elsewhere = WhyMoved
 		return true
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -37,6 +37,7 @@
 	stranger bool
 	// elsewhere: its key belongs to another server, and why.
 	elsewhere string
+	barred    string             // why nothing new begins by the rules that it was sent by; empty: nothing is against it
 	cancel    context.CancelFunc // gives up the call that is out
 	timer     *time.Timer
 
@@ -156,6 +157,7 @@
 	full := Answer{Outcome: Refused, Wait: set.MaxAdvice}
 	why := ""
 	t := &task{Request: r, class: k, read: now, bell: make(chan struct{}, 1)}
+	t.barred = c.judge(&r)
 	switch {
 	case c.tasks[r.ID] != nil:
 		why, full = "same_id", Answer{Outcome: Invalid}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -68,6 +68,9 @@
 	if metrics.Read(allocs); allocs[0].Value.Kind() == metrics.KindUint64 {
 		o.Set("allocations", a.NewNumberFloat64(float64(allocs[0].Value.Uint64())))
 	}
+	if c.cell {
+		o.Set("rules", c.rulesStatus(&a))
+	}
 	for name, part := range c.extra {
 		if p, err := fastjson.ParseBytes(part()); err == nil {
 			o.Set(name, p)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -58,6 +58,8 @@
 	"reload.pools":          "reload: pools: taken up",
 	"reload.pools_bad":      "reload: the old pools hold: {why}",
 	"reload.settings":       "reload: settings: taken up, {classes}",
+	"rules.contradiction":   "rules: version {version}: {documents}: nothing that is exclusive begins by either",
+	"rules.newer":           "rules: {newest} is newer than {was}, by {source}",
 	"scgi.unread":           "{front}: {status} to {peer}: {why}",
 	"snmp.reading":          "snmp: reading: {why}",
 	"upstream.broken":       "application server: request {request}: {why}",
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"silverpath/internal/events"
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/routing"
+	"silverpath/internal/rulebook"
 	"silverpath/internal/stats"
 )
 
@@ -36,6 +37,7 @@
 
 // Config sets up a Runner.
 type Config struct {
+	Name    string // by which others know it
 	Source  Source // of the cell map
 	Routing routing.Config
 	Cores   int // runs at once that the whole fleet is taken to have room for
@@ -70,12 +72,20 @@
 	asked  atomic.Uint64 // worth, in thousandths, of all requests that have been answered
 	served atomic.Uint64 // and of those that were served
 	said   map[string]routing.Health
+	rules  rulebook.Seen // what was heard of others' maps
+	again  chan struct{} // the map is to be read again, as a newer one was heard of
+	used   atomic.Int64  // when a sheet was last sent, by the clock
+
+	reading sync.Mutex // of the map
+	saidBad time.Time
 }
 
 // view is the map in force and when it was last known to be the newest.
 type view struct {
 	*cells.Map
-	read time.Time
+	read  time.Time
+	id    rulebook.ID
+	named string // the same, as it is said
 }
 
 var (
@@ -95,7 +105,7 @@
 	cfg.Routing.Window = m.Window + m.Patient + 2*m.Skew
 	r := &Runner{
 		cfg: cfg, events: events, log: l, stats: s, began: time.Now(), table: routing.New(cfg.Routing), fair: routing.NewFair(),
-		peers: map[string]*peer{}, said: map[string]routing.Health{}, room: make(chan struct{}, max(8, cfg.Sockets)),
+		peers: map[string]*peer{}, said: map[string]routing.Health{}, again: make(chan struct{}, 1), room: make(chan struct{}, max(8, cfg.Sockets)),
 	}
 	r.take(m, fresh)
 	return r, nil
@@ -122,18 +132,41 @@
 		}
 	}
 	r.table.Members(r.clock(), weights)
-	r.cells.Store(&view{m, read})
+	v := &view{Map: m, read: read}
+	if was := r.cells.Load(); was != nil && was.Map == m {
+		v.id, v.named = was.id, was.named
+	} else {
+		v.id = identify(m)
+		v.named = v.id.String()
+	}
+	r.cells.Store(v)
+	r.rules.Agree(r.terms(m))
+	r.heard(r.clock(), v.id, r.cfg.Name)
 }
 
 // Reload reads the map again. One that is no good, or can't follow the one in force, is logged, and the old one holds.
 func (r *Runner) Reload() {
+	r.reading.Lock()
+	defer r.reading.Unlock()
 	old := r.cells.Load()
-	m, read, err := r.cfg.Source.Load(old.Map)
+	load := r.cfg.Source.Load
+	src, can := r.cfg.Source.(Behind)
+	behind := can && r.standing(old) == rulebook.Behind
+	if behind {
+		load = src.LoadBehind
+	}
+	m, read, err := load(old.Map)
 	if err != nil {
 		r.stats.Inc("cells", "bad_map")
-		events.Say(r.log, "cells.bad_map", old.Version, err)
+		if time.Since(r.saidBad) > old.Lease {
+			r.saidBad = time.Now()
+			events.Say(r.log, "cells.bad_map", old.Version, err)
+		}
 		return
 	}
+	if behind && m.Version != old.Version {
+		r.late(m)
+	}
 	if m.Version != old.Version {
 		r.stats.Inc("cells", "new_map")
 		events.Say(r.log, "cells.new_map", m.Version, old.Version, len(cells.Diff(old.Map, m)))
@@ -169,10 +202,23 @@
 			return
 		case <-time.After(r.cells.Load().Lease / 3):
 			r.Reload()
+		case <-r.again:
+			r.Reload()
+			pause(ctx, max(minReload, r.cells.Load().Lease/10))
 		}
 	}
 }
 
+// minReload is the least time between two readings of the map because a newer one was heard of.
+const minReload = 100 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // probe asks a server for its health on a connection of its own.
 func (r *Runner) probe(ctx context.Context, s cells.Server) {
 	ctx, cancel := context.WithTimeout(ctx, probeWithin)
@@ -183,7 +229,7 @@
 	if err == nil {
 		defer c.Close()
 		var reply <-chan msgpackrpc.Reply
-		if _, reply, err = c.Send(func(id uint64) []byte { return msgpackrpc.AppendProbe(nil, id) }); err == nil {
+		if _, reply, err = c.Send(func(id uint64) []byte { return msgpackrpc.AppendProbe(nil, id, r.introduces(r.cells.Load())...) }); err == nil {
 			select {
 			case a, good = <-reply:
 			case <-ctx.Done():
@@ -211,6 +257,9 @@
 	if p := r.peers[name]; p != nil {
 		p.boot.Store(boot)
 	}
+	if fields["g"] != "" {
+		r.told(name, fields)
+	}
 }
 
 // report logs what changed in the health of servers, under the lock.
@@ -275,16 +324,41 @@
 	switch {
 	case !ok:
 		return r.refuse("no_cell")
-	case keyed && time.Since(m.read) > m.Lease:
-		return r.failed("stale_map") // it may have been moved, and run elsewhere
 	case keyed:
-		return r.sheet(q, m, route)
+		return r.led(q, m, route)
 	}
 	// A keyed class's request without a key can't be told from another one: it is tried elsewhere only on proof, like
 	// whatever must run at most once.
 	return r.tries(q, route, class.Effect == silverpath.Safe)
 }
 
+// led is a sheet's way to its home. Where a server knows of rules by which it must not run there, it has not run by this try,
+// and where this router then finds newer ones, they are asked once.
+func (r *Runner) led(q core.Request, m *view, route cells.Route) core.Answer {
+	for anew := false; ; anew = true {
+		if time.Since(m.read) > m.Lease {
+			return r.failed("stale_map") // it may have been moved, and run elsewhere
+		}
+		if v := r.standing(m); v != rulebook.Good {
+			return r.failed(v.String())
+		}
+		q.Rules = m.named
+		r.used.Store(int64(r.clock()))
+		Boundary("routed")
+		a := r.sheet(q, m, route)
+		if a.Why != core.WhyBehind || anew {
+			return a
+		}
+		r.Reload()
+		now := r.cells.Load()
+		ok := false
+		if route, ok = now.Route(time.Now(), q.Tenant, q.Key); !ok || now.Version == m.Version {
+			return a
+		}
+		m = now
+	}
+}
+
 // admit reports whether a tenant may send one more request into its cell.
 func (r *Runner) admit(m *view, tenant string, route cells.Route) bool {
 	r.mu.Lock()
@@ -318,6 +392,13 @@
 	return core.Answer{Outcome: core.Failed}
 }
 
+// behind is the answer where a server knows of newer rules, which may have the sheet run elsewhere.
+func (r *Runner) behind(why string) core.Answer {
+	a := r.failed(why)
+	a.Why = core.WhyBehind
+	return a
+}
+
 // sheet brings a keyed request to its home. Former homes are asked first whether they know it; one that can't be asked
 // may have run it, so then it fails. What is answered there is the answer; what no former home knows, the home runs.
 func (r *Runner) sheet(q core.Request, m *view, route cells.Route) core.Answer {
@@ -330,6 +411,8 @@
 			r.stats.Inc("fleet", "former_home")
 			return core.Answer{Outcome: core.Served, Body: e.body}
 		case e.outcome == routing.Refused && (e.why == core.WhyUnknown || e.why == core.WhyMoved):
+		case e.outcome == routing.Refused && e.why == core.WhyBehind:
+			return r.behind("former_home_behind")
 		default:
 			return r.failed("former_home_" + e.name())
 		}
@@ -352,6 +435,8 @@
 				return r.failed("moved_nowhere")
 			}
 			home = next.Home
+		case e.outcome == routing.Refused && e.why == core.WhyBehind:
+			return r.behind("home_behind")
 		case e.outcome == routing.Refused && e.why != "":
 			return r.failed("home_" + e.why) // it started anew: an earlier try may have run before
 		case e.outcome == routing.Refused:
@@ -483,7 +568,7 @@
 		defer cancel()
 		e, fields = p.send(ctx, msgpackrpc.Try{
 			ID: q.ID, Class: q.Class, Tenant: q.Tenant, Key: q.Key, Reached: began, Wait: due.Sub(began) - lateAnswer/2,
-			HeldKB: q.HeldKB, Rank: q.Rank, Caller: q.Caller, Body: q.Body, Known: known, Boot: p.boot.Load(),
+			HeldKB: q.HeldKB, Rank: q.Rank, Caller: q.Caller, Body: q.Body, Known: known, Boot: p.boot.Load(), Rules: q.Rules,
 		})
 	}
 	r.mu.Lock()
--- /dev/null
+++ b/internal/fleet/rules.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"silverpath/internal/cells"
+	"silverpath/internal/core"
+	"silverpath/internal/events"
+	"silverpath/internal/rulebook"
+	"silverpath/internal/settings"
+)
+
+// Boundary is called in test programs only, which stop the process there: routed (a sheet has been found its home, by the map
+// that was in force then, and was not sent).
+var Boundary = func(at string) {}
+
+// identify names a map.
+func identify(m *cells.Map) rulebook.ID { return rulebook.Name(m.Version, settings.FormatCells(m)) }
+
+// terms are those of a map, as this router looks after its servers.
+func (r *Runner) terms(m *cells.Map) rulebook.Terms {
+	return rulebook.Terms{Lease: m.Lease, Skew: m.Skew, Drift: clockDrift, Probe: r.cfg.Probe, Wait: probeWithin, Dual: m.Window + m.Patient + 2*m.Skew}
+}
+
+// clockDrift is by which the monotonic clock of a machine may run fast or slow, as a share.
+const clockDrift = 0.05
+
+// introduces are the fields by which this router tells a server what it goes by.
+func (r *Runner) introduces(m *view) []string {
+	ms := func(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+	t := r.terms(m.Map)
+	return []string{"g", m.named, "gn", r.cfg.Name, "gl", ms(t.Lease), "gs", ms(t.Skew), "gp", ms(t.Probe), "gw", ms(t.Wait), "gd", ms(t.Dual)}
+}
+
+// told takes what a server knows of the rules, under the lock.
+func (r *Runner) told(server string, fields map[string]string) {
+	now := r.clock()
+	if n, words, ok := strings.Cut(fields["gc"], " "); ok {
+		if n, err := strconv.Atoi(n); err == nil && r.rules.Told(now, n, words) == rulebook.Conflict {
+			r.contradicted()
+		}
+	}
+	if id, ok := rulebook.ParseID(fields["g"]); ok {
+		r.heard(now, id, fields["gn"]+" at server "+server)
+	}
+	if ms, err := strconv.ParseInt(fields["gq"], 10, 64); err == nil && ms > 0 {
+		r.rules.Hush(now, min(time.Duration(ms)*time.Millisecond, time.Hour))
+	}
+}
+
+// heard takes that there is a document, under the lock. One that is newer than its own has this router read its map again.
+func (r *Runner) heard(now time.Duration, id rulebook.ID, source string) {
+	switch r.rules.Hear(now, id, source) {
+	case rulebook.Conflict:
+		r.contradicted()
+	case rulebook.Newer:
+		if m := r.cells.Load(); m != nil && id.Version > m.Version {
+			events.Say(r.log, "rules.newer", id, m.id, source)
+		}
+	}
+	if m := r.cells.Load(); m != nil && id.Version > m.Version {
+		select {
+		case r.again <- struct{}{}:
+		default: // it is about to
+		}
+	}
+}
+
+func (r *Runner) contradicted() {
+	n, words := r.rules.Differ()
+	r.stats.Inc("rules", "contradictions")
+	events.Say(r.log, "rules.contradiction", n, words)
+}
+
+// late is told that a newer map is taken up by one that has gone by an old one beyond its time. What it then sent, where the
+// newer one says otherwise, may come again.
+func (r *Runner) late(m *cells.Map) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if used := time.Duration(r.used.Load()); used > 0 {
+		now := r.clock()
+		r.rules.Hush(now, used+r.terms(m).Dual-now)
+	}
+}
+
+// standing tells whether a sheet may be sent by a map.
+func (r *Runner) standing(m *view) rulebook.Verdict {
+	if core.Unfenced {
+		return rulebook.Good
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rules.Judge(r.clock(), m.id)
+}
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -21,10 +21,17 @@
 	Load(old *cells.Map) (*cells.Map, time.Time, error)
 }
 
+// Behind is a source that also has maps for a router that has gone by an old one beyond its time: others have taken them up,
+// so that they were announced too late is not for this one to say.
+type Behind interface {
+	LoadBehind(old *cells.Map) (*cells.Map, time.Time, error)
+}
+
 // File is a map in a file, or the head of a series in a folder, beside a store that keeps the last good one over a restart of the router.
 type File struct {
 	path  string
 	store *bbolt.DB // nil: none
+	known time.Time // when the map in force was last read
 }
 
 var (
@@ -64,18 +71,25 @@
 
 // Load reads the file. At a start the map that was kept stands for the old one: what is in the file must be able to follow
 // it, and where the file is no good the router goes on with what it had, known to be the newest when it was last read.
-func (f *File) Load(old *cells.Map) (*cells.Map, time.Time, error) {
+func (f *File) Load(old *cells.Map) (*cells.Map, time.Time, error) { return f.load(old, f.known) }
+
+// LoadBehind is Load for one that is behind.
+func (f *File) LoadBehind(old *cells.Map) (*cells.Map, time.Time, error) {
+	return f.load(old, time.Time{})
+}
+
+func (f *File) load(old *cells.Map, known time.Time) (*cells.Map, time.Time, error) {
 	now := time.Now()
 	starting := old == nil
 	var kept *cells.Map
 	var read time.Time
 	if starting {
 		kept, read = f.kept()
-		old = kept
+		old, known, f.known = kept, read, read
 	}
 	m, err := f.parse()
 	if err == nil && old != nil {
-		err = m.Follows(old, now)
+		err = m.FollowsLate(old, known, now)
 	}
 	if err != nil {
 		err = fmt.Errorf("%s: %w", f.path, err)
@@ -87,6 +101,7 @@
 	if err := f.keep(m, now); err != nil {
 		return nil, now, err
 	}
+	f.known = now
 	return m, now, nil
 }
 
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/valyala/fastjson"
+
+	"silverpath/internal/core"
 )
 
 // Status is what a router knows of its fleet, as a JSON object: the map in force, its servers and what was decided.
@@ -14,6 +16,12 @@
 	o := a.NewObject()
 	o.Set("map_version", a.NewNumberInt(m.Version))
 	o.Set("map_read_ms_ago", a.NewNumberInt(int(time.Since(m.read).Milliseconds())))
+	o.Set("map_id", a.NewString(m.named))
+	r.mu.Lock()
+	rules := core.RulesStatus(&a, &r.rules, r.clock())
+	rules.Set("standing", a.NewString(r.rules.Judge(r.clock(), m.id).String()))
+	r.mu.Unlock()
+	o.Set("rules", rules)
 	o.Set("worth_asked", a.NewNumberFloat64(float64(r.asked.Load())/1000))
 	o.Set("worth_served", a.NewNumberFloat64(float64(r.served.Load())/1000))
 	list := a.NewArray()
--- a/internal/msgpackrpc/client.go
+++ b/internal/msgpackrpc/client.go
@@ -24,10 +24,10 @@
 	return appendBin(appendFields(b, fields), body)
 }
 
-// AppendProbe appends a health check.
-func AppendProbe(b []byte, id uint64) []byte {
+// AppendProbe appends a health check, with what its sender says with it as name and value in turn.
+func AppendProbe(b []byte, id uint64, fields ...string) []byte {
 	b = appendUint(appendUint(appendArray(b, 4), uint64(request)), id)
-	return appendFields(appendArray(appendText(b, probe), 1), nil)
+	return appendFields(appendArray(appendText(b, probe), 1), fields)
 }
 
 // AppendStatus appends a request for the state of the service.
--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -153,13 +153,14 @@
 	HeldKB, Rank           float64
 	Caller                 int
 	Body                   []byte
-	Known                  bool  // only where the key is known
-	Boot                   int64 // the start of the service that is meant; 0: any
+	Known                  bool   // only where the key is known
+	Boot                   int64  // the start of the service that is meant; 0: any
+	Rules                  string // the document by which it goes there; empty: none is named
 }
 
 // Append appends the try as a message.
 func (t Try) Append(b []byte, id uint64) []byte {
-	fields := append(make([]string, 0, 20), "i", t.ID, "s", strconv.FormatInt(t.Reached.UnixMilli(), 10),
+	fields := append(make([]string, 0, 22), "i", t.ID, "s", strconv.FormatInt(t.Reached.UnixMilli(), 10),
 		"f", strconv.Itoa(t.Caller), "d", strconv.FormatInt(t.Wait.Milliseconds(), 10),
 		"m", strconv.FormatFloat(t.HeldKB, 'f', 2, 64))
 	if t.Tenant != "" {
@@ -177,5 +178,8 @@
 	if t.Boot != 0 {
 		fields = append(fields, "b", strconv.FormatInt(t.Boot, 10))
 	}
+	if t.Rules != "" {
+		fields = append(fields, "g", t.Rules)
+	}
 	return AppendRequest(b, id, t.Class, t.Body, fields...)
 }
--- a/internal/msgpackrpc/decode.go
+++ b/internal/msgpackrpc/decode.go
@@ -46,6 +46,7 @@
 type decoder struct {
 	r      *bufio.Reader
 	status bool // status requests are known
+	cell   bool // probes may say something: they come from routers
 	// longest bounds a body; 0: longestBody.
 	longest int
 	// shut reports, of a class, that its request is refused whatever else it says, and so passed over unread.
@@ -279,6 +280,9 @@
 		}
 		taken = 1
 		m.id, err = d.uint()
+	case m.kind == request && m.method == probe && d.cell && params > 0:
+		taken = 1
+		m.fields, err = d.fields()
 	case m.kind == request && m.method == probe:
 	case m.kind == request && m.method == StatusMethod && params <= 1 && d.status:
 		m.status = true
--- a/internal/msgpackrpc/decode_test.go
+++ b/internal/msgpackrpc/decode_test.go
@@ -210,7 +210,7 @@
 			b.ReportAllocs()
 			src := bytes.NewReader(raw)
 			r := bufio.NewReader(src)
-			d := decoder{r: r, shut: func(string) bool { return shut }}
+			d := decoder{r: r, cell: shut, shut: func(string) bool { return shut }}
 			for b.Loop() {
 				src.Reset(raw)
 				r.Reset(src)
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -17,6 +17,7 @@
 	"silverpath/internal/buf"
 	"silverpath/internal/core"
 	"silverpath/internal/front"
+	"silverpath/internal/rulebook"
 	"silverpath/internal/stats"
 )
 
@@ -37,6 +38,7 @@
 	writeTimeout = 2 * time.Second
 	mostAhead    = 10 * time.Second // by which a balancer's clock may be ahead
 	longestWait  = time.Hour
+	mostTerm     = time.Hour // of those that a router names
 )
 
 // Front serves balancers.
@@ -74,7 +76,8 @@
 	slot.OnLeave(c.lastCall)
 	r := buf.Reader(conn)
 	defer buf.PutReader(r)
-	d := decoder{r: r, status: f.core.TellsStatus(), shut: func(class string) (shut bool) {
+	_, cell := f.core.Boot()
+	d := decoder{r: r, status: f.core.TellsStatus(), cell: cell, shut: func(class string) (shut bool) {
 		c.refusal, shut = f.core.Shut(Name, class)
 		return shut
 	}}
@@ -132,7 +135,7 @@
 	case m.method == probe:
 		c.stats.Inc("probes", Name)
 		c.slot.Cheap()
-		c.write(func(b []byte) []byte { return appendProbe(b, m.id, c.core.Health(), c.signal(nil)) })
+		c.probed(m)
 		return nil
 	}
 	if m.status {
@@ -153,6 +156,9 @@
 		return nil
 	}
 	r, problem := mapRequest(m, time.Now(), c.core)
+	if r.Rules != "" {
+		r.Source = c.conn.RemoteAddr().String()
+	}
 	c.mu.Lock()
 	if _, twice := c.open[m.id]; twice {
 		c.mu.Unlock()
@@ -184,6 +190,20 @@
 	return nil
 }
 
+// probed answers a health check. A router says with it by which rules it goes, and hears what else is known of them.
+func (c *client) probed(m message) {
+	var told []string
+	if id := m.fields["g"]; id != "" {
+		ms := func(key string) time.Duration {
+			n, _ := strconv.ParseInt(m.fields[key], 10, 64)
+			return time.Duration(max(0, min(n, mostTerm.Milliseconds()))) * time.Millisecond
+		}
+		c.core.Heard(id, m.fields["gn"], rulebook.Terms{Lease: ms("gl"), Skew: ms("gs"), Probe: ms("gp"), Wait: ms("gw"), Dual: ms("gd")})
+		told = c.core.RulesTold()
+	}
+	c.write(func(b []byte) []byte { return appendProbe(b, m.id, c.core.Health(), c.signal(told)) })
+}
+
 // fail gives up the connection: nobody can be answered on it any more.
 func (c *client) fail() {
 	c.conn.Close()
@@ -231,9 +251,14 @@
 		return r, core.WhyBoot
 	}
 	reached := time.UnixMilli(stamp)
+	rules := ""
+	if cell && f["k"] != "" {
+		rules = f["g"]
+	}
 	return core.Request{
 		Front: Name, ID: f["i"], Class: m.method, Tenant: f["t"], Key: f["k"], Object: f["o"],
 		Caller: caller, HeldKB: held, Rank: rank, Body: m.body, Known: cell && f["n"] == "1" && f["k"] != "",
+		Rules:   rules,
 		Reached: reached, Due: reached.Add(time.Duration(wait) * time.Millisecond),
 	}, ""
 }
--- a/internal/service/router.go
+++ b/internal/service/router.go
@@ -15,7 +15,7 @@
 	}
 	r := set.Routing
 	r.Seed = uint64(s.cfg.Seed)
-	s.fleet, err = fleet.New(fleet.Config{Source: src, Routing: r, Cores: s.cfg.Server.Cores, Probe: set.Probe, Sockets: b.Upstream},
+	s.fleet, err = fleet.New(fleet.Config{Name: s.cfg.Name, Source: src, Routing: r, Cores: s.cfg.Server.Cores, Probe: set.Probe, Sockets: b.Upstream},
 		s.core, s.log, s.stats)
 	if err != nil {
 		return fmt.Errorf("fleet.map: %w", err)
