--- a/cmd/silverpath/fleet_test.go
+++ b/cmd/silverpath/fleet_test.go
@@ -162,10 +162,16 @@
 }
 
 func newFleet(t testing.TB, window time.Duration, env ...string) *testFleet {
+	t.Helper()
+	return newFleetWith(t, window, `{"cell":true}`, env...)
+}
+
+// newFleetWith has servers with another edge file.
+func newFleetWith(t testing.TB, window time.Duration, edge string, env ...string) *testFleet {
 	t.Helper()
 	f := &testFleet{
 		t: t, names: []string{"s1", "s2", "s3", "s4"}, machines: map[string]*standin.Interpreter{}, servers: map[string]*process{},
-		files: map[string]string{}, edge: write(t, "cell.json", `{"cell":true}`),
+		files: map[string]string{}, edge: write(t, "cell.json", edge),
 		Map: &cells.Map{
 			Version: 1, Window: window, Skew: 200 * time.Millisecond, Lease: 900 * time.Millisecond, Patient: time.Second,
 			Cells:   []cells.Cell{{Name: "a", Capacity: 1000}, {Name: "b", Capacity: 1000}},
--- /dev/null
+++ b/cmd/silverpath/rulebook_test.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// ruledFleet is a fleet whose routers have their map from a group, and whose servers have their classes from it.
+type ruledFleet struct {
+	*testFleet
+	g *testGroup
+}
+
+// rulesPart is the part of an edge file by which a process follows documents, as it reaches the given members; nil: all.
+func (f *ruledFleet) rulesPart(members []string, docs ...string) string {
+	if members == nil {
+		members = f.g.Client.Addrs
+	}
+	ms, _ := json.Marshal(members)
+	ds, _ := json.Marshal(docs)
+	return fmt.Sprintf(`"rules":{"group":"test","members":%s,"documents":%s}`, ms, ds)
+}
+
+func newRuledFleet(t testing.TB, window time.Duration, env ...string) *ruledFleet {
+	t.Helper()
+	f := &ruledFleet{g: newGroup(t, 3)}
+	f.testFleet = newFleetWith(t, window, fmt.Sprintf(`{"cell":true,%s}`, f.rulesPart(nil, "classes")), env...)
+	f.put("map", f.write(f.Map))
+	return f
+}
+
+// router starts one that has its map from the group.
+func (f *ruledFleet) router(name string, members []string, env ...string) *process {
+	f.t.Helper()
+	return spawnIn(f.t, env, "route", "--config", siteFile(f.t, name, ""), "--edge", write(f.t, name+"-edge.json", fmt.Sprintf(
+		`{"status":true,"fleet":{"state":%q,"probe_ms":100},%s}`, filepath.Join(f.t.TempDir(), name+".db"), f.rulesPart(members, "map", "routing"))))
+}
+
+// rules runs a command on the group's documents.
+func (f *ruledFleet) rules(args ...string) (code int, out, message string) {
+	f.t.Helper()
+	return run(f.t, "", append([]string{"rules", "--group", "test", "--members", strings.Join(f.g.Client.Addrs, ","), "--within", "15s"}, args...)...)
+}
+
+// put puts a document and waits until it is in force.
+func (f *ruledFleet) put(name, file string, args ...string) {
+	f.t.Helper()
+	if code, out, message := f.rules(append([]string{"put", name, file, "--wait"}, args...)...); code != 0 {
+		f.t.Fatalf("put %s: %s%s", name, out, message)
+	}
+}
+
+// expect runs a command and holds what it says against a text.
+func (f *ruledFleet) expect(code int, want string, args ...string) string {
+	f.t.Helper()
+	got, out, message := f.rules(args...)
+	if got != code || !strings.Contains(out+message, want) || code != 0 && strings.Count(message, "\n") != 1 {
+		f.t.Errorf("rules %v: exit code %d, %q, %q; want %d, %q", args, got, out, message, code, want)
+	}
+	return out
+}
+
+// classesFile is a document of the classes of siteFile with another window and aim.
+func classesFile(t testing.TB, effect string, window time.Duration, worth int) string {
+	return write(t, "classes.json", fmt.Sprintf(`{"classes":[{"name":"oddaja","target":900000,"deadline":1000000,"worth":%d,"effect":%q,"memory_span":%d}]}`,
+		worth, effect, window.Microseconds()))
+}
+
+// What operators do with documents, and what they are told.
+func TestRules(t *testing.T) {
+	f := newRuledFleet(t, sheetWindow)
+	one, two := f.router("r1", nil), f.router("r2", nil)
+	if got := toAll(10, "first", one, two); got["served"] != 20 || twice(f.ran()) != 0 {
+		t.Fatalf("by the group's map: %v", got)
+	}
+	f.expect(1, `no such document: "colours"`, "put", "colours", "../../deploy/route.json")
+	f.expect(1, "says the same", "put", "map", f.write(f.Map))
+	f.put("routing", "../../deploy/route.json")
+	f.expect(0, `"retries": 0.1`, "get", "routing")
+	f.expect(0, "routing", "get")
+	changed := write(t, "routing.json", `{"retries":0.2,"hedges":0.05,"most_out":0.4,"panic":0.5,"slow_start_ms":10000,"probe_ms":100}`)
+	f.expect(0, "retries", "diff", "routing", changed)
+	f.expect(0, "for r1#", "put", "routing", changed, "--dry-run")
+	f.expect(1, "retries: not from 0 to 1: 7", "put", "routing", write(t, "bad.json", `{"retries":7}`))
+	f.expect(0, "version 2 proposed", "put", "routing", changed, "--hold", "not before noon")
+	f.expect(1, "a change is under way: version 2 of routing is proposed", "put", "routing", "../../deploy/route.json")
+	f.expect(0, "held: not before noon", "who", "routing")
+	f.expect(0, "", "release", "routing")
+	for _, p := range []*process{one, two} {
+		if _, err := p.Await(5*time.Second, 0, "rules: acts on routing 2."); err != nil {
+			t.Error(err)
+		}
+	}
+	f.expect(0, "version 3: takeback", "withdraw", "routing", "--why", "too many tries")
+	if _, err := one.Await(5*time.Second, 0, "rules: acts on routing 3."); err != nil {
+		t.Error(err)
+	}
+	f.expect(0, "taken back: too many tries", "history", "routing")
+	f.expect(0, "(version 1 again)", "history", "routing")
+	f.expect(1, "it was taken back before", "put", "routing", changed)
+	f.expect(0, "retries", "diff", "routing", "--versions", "1,2")
+	// A process that can't act on it says why, and it is withdrawn.
+	code, _, message := f.rules("put", "classes", write(t, "classes.json",
+		`{"classes":[{"name":"oddaja","target":900000,"deadline":1000000,"worth":-1,"effect":"token","memory_span":2000000}]}`), "--wait")
+	if code != 1 || !strings.Contains(message, "version 1: withdrawn: s") || !strings.Contains(message, "Classes[0].Worth: not a number of 0 or more: -1") {
+		t.Errorf("exit code %d, %s", code, message)
+	}
+	f.put("classes", classesFile(t, "token", sheetWindow, 3))
+	f.put("classes", classesFile(t, "token", sheetWindow, 4))
+	out := f.expect(0, `"doc": "classes"`, "who", "classes", "--json")
+	var who []struct {
+		Process string
+		Acts    int
+		Stops   string
+	}
+	if err := json.Unmarshal([]byte(out), &who); err != nil || len(who) != 4 {
+		t.Fatalf("%v: %s", err, out)
+	}
+	// The map, by the planner of a file: a move is announced, and no sheet runs twice.
+	file := f.write(f.Map)
+	if code, out, message := run(t, "", "cells", "--map", file, "move", "--tenant", "brand", "--to", "b"); code != 0 {
+		t.Fatal(out, message)
+	}
+	f.put("map", file)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		toAll(3, fmt.Sprint("moving", end.Sub(time.Now())), one, two)
+	}
+	if n := twice(f.ran()); n != 0 {
+		t.Errorf("%d ran twice", n)
+	}
+	if got := toAll(10, "moved", one, two); got["served"] != 20 {
+		t.Errorf("after the move: %v", got)
+	}
+	ran := f.machines["s3"].Runs()
+	for body, n := range f.machines["s4"].Runs() {
+		ran[body] += n
+	}
+	if ran["moved-3"] != 1 {
+		t.Error("the move is not in force")
+	}
+}
--- /dev/null
+++ b/cmd/silverpath/rules.go
@@ -0,0 +1,439 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/user"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"silverpath/internal/group"
+	"silverpath/internal/quorum"
+	"silverpath/internal/rulebook"
+	"silverpath/internal/settings"
+)
+
+func rulesCommand() *cobra.Command {
+	var g quorum.Client
+	var within time.Duration
+	var asJSON bool
+	cmd := &cobra.Command{Use: "rules", Short: "Show and change the documents that a group agrees on: see docs/rules.md"}
+	groupFlags(cmd, &g, &within)
+	cmd.PersistentFlags().BoolVar(&asJSON, "json", false, "print JSON")
+	read := func(do func(r quorum.Rules) error) error {
+		return inTime(&g, within, func(ctx context.Context) error {
+			r, err := g.Rules(ctx)
+			if err != nil {
+				return err
+			}
+			return do(r)
+		})
+	}
+	cmd.AddCommand(rulesPut(&g, &within, &asJSON), rulesShow("get [DOC]", "Show what is in force and what is under way, or the text of one document", read, &asJSON, showDocs),
+		rulesShow("history DOC", "Show the versions of a document and what became of them", read, &asJSON, showHistory),
+		rulesShow("who [DOC]", "Show which process acts on which version, and what a change waits for", read, &asJSON, showWho),
+		rulesDiff(read, &asJSON))
+	for _, c := range []struct {
+		use, short string
+		op         rulebook.Op
+	}{
+		{"hold DOC", "Have a change wait before its next stage", rulebook.Hold},
+		{"release DOC", "Have it go on", rulebook.Release},
+		{"withdraw DOC", "Withdraw a change that is not in force, or put what was in force before the latest back in force", rulebook.Withdraw},
+	} {
+		var why string
+		one := &cobra.Command{Use: c.use, Short: c.short, Args: cobra.ExactArgs(1), RunE: func(cc *cobra.Command, args []string) error {
+			return inTime(&g, within, func(ctx context.Context) error {
+				r, err := g.Rules(ctx)
+				if err != nil {
+					return err
+				}
+				d, err := doc(r, args[0])
+				if err != nil {
+					return err
+				}
+				ask := rulebook.Change{Op: c.op, Doc: args[0], By: whoami(), Why: why}
+				switch {
+				case d.Next != nil:
+					ask.Version = d.Next.ID.Version
+				case c.op == rulebook.Withdraw && d.Force != nil:
+					ask.Op, ask.Version = rulebook.TakeBack, d.Force.ID.Version
+				default:
+					return errors.New("no change is under way")
+				}
+				got, err := agreed(ctx, &g, group.Command{Rule: &ask})
+				if err == nil {
+					fmt.Fprintf(cc.ErrOrStderr(), "%s: version %d: %s\n", args[0], got.Version, ask.Op)
+				}
+				return err
+			})
+		}}
+		one.Flags().StringVar(&why, "why", "", "why, for those who look")
+		cmd.AddCommand(one)
+	}
+	return cmd
+}
+
+// whoami is who asks, for those who look later.
+func whoami() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "somebody"
+}
+
+func doc(r quorum.Rules, name string) (*rulebook.Doc, error) {
+	if d := r.Book.Docs[name]; d != nil {
+		return d, nil
+	}
+	return nil, fmt.Errorf("no such document yet: %q, of %s", name, strings.Join(rulebook.Docs, ", "))
+}
+
+// rulesPut puts a document from a file: also from the files of an installation that had no group.
+func rulesPut(g *quorum.Client, within *time.Duration, asJSON *bool) *cobra.Command {
+	var dry, wait, again bool
+	var why, config string
+	var part, worse float64
+	var watch time.Duration
+	put := &cobra.Command{Use: "put DOC FILE", Short: "Change a document; of an edge file or a configuration the part is taken that is it", Args: cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			data, err := os.ReadFile(args[1])
+			if err != nil {
+				return err
+			}
+			text, format, err := settings.Document(args[0], data)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[1], err)
+			}
+			if args[0] == rulebook.DocPools || args[0] == rulebook.DocClasses {
+				if err := checkFor(args[0], text, config); err != nil {
+					return err
+				}
+			}
+			return inTime(g, *within, func(ctx context.Context) error {
+				r, err := g.Rules(ctx)
+				if err != nil {
+					return err
+				}
+				ask := rulebook.Change{Op: rulebook.Put, Doc: args[0], Text: text, Format: format, By: whoami(), Again: again, Why: why}
+				old := ""
+				if d := r.Book.Docs[args[0]]; d != nil && d.Force != nil {
+					ask.Version, old = d.Force.ID.Version, d.Force.Text
+				}
+				if watch > 0 {
+					ask.Try = &rulebook.Try{Part: part, For: watch.Milliseconds(), Worse: worse}
+				}
+				list, err := rulebook.Diff(args[0], old, text)
+				if err != nil {
+					return err
+				}
+				if dry {
+					return dryRun(c.OutOrStdout(), r, args[0], format, list, *asJSON)
+				}
+				got, err := agreed(ctx, g, group.Command{Rule: &ask})
+				if err != nil {
+					return err
+				}
+				if !wait {
+					fmt.Fprintf(c.ErrOrStderr(), "%s: version %d proposed\n", args[0], got.Version)
+					return nil
+				}
+				return inForce(ctx, g, c.ErrOrStderr(), args[0], got.Version)
+			})
+		}}
+	f := put.Flags()
+	f.BoolVar(&dry, "dry-run", false, "say what would change and for whom, and change nothing")
+	f.BoolVar(&wait, "wait", false, "wait until it is in force, within --within, and say what it waits for")
+	f.BoolVar(&again, "again", false, "put what was taken back before")
+	f.StringVar(&why, "hold", "", "have it wait at once, and why")
+	f.DurationVar(&watch, "watch", 0, "watch it for so long and take it back if less worth is served; 0: not")
+	f.Float64Var(&part, "part", 0, "the part of the processes that act on it first, for as long as it is watched; 0: all at once")
+	f.Float64Var(&worse, "worse", 0.05, "by so much less of the worth it counts as bad")
+	f.StringVar(&config, "config", "", "for classes and pools: the configuration of a site that they have to fit")
+	return put
+}
+
+// checkFor checks a document whole against a site, where one is given. Every process does so against its own.
+func checkFor(name, text, config string) error {
+	if config == "" {
+		return nil
+	}
+	cfg, err := settings.Load(config)
+	if err != nil {
+		return err
+	}
+	if name == rulebook.DocPools {
+		_, err = settings.ParsePools(text, cfg.Server)
+	} else {
+		_, err = settings.ParseClasses(text, cfg.Server)
+	}
+	return err
+}
+
+// inForce waits until a change is in force, or will not be.
+func inForce(ctx context.Context, g *quorum.Client, out io.Writer, name string, version int) error {
+	said := ""
+	for {
+		r, err := g.Rules(ctx)
+		if err != nil {
+			return fmt.Errorf("%s version %d is under way: %s: %w", name, version, said, err)
+		}
+		d := r.Book.Docs[name]
+		switch {
+		case d == nil:
+			return fmt.Errorf("%s is gone", name)
+		case d.Force != nil && d.Force.ID.Version == version:
+			fmt.Fprintf(out, "%s: version %d is in force\n", name, version)
+			return nil
+		case d.Next == nil || d.Next.ID.Version != version:
+			for _, e := range d.History {
+				if e.ID.Version == version {
+					return fmt.Errorf("%s: version %d: %s", name, version, e.Ended)
+				}
+			}
+			return fmt.Errorf("%s: version %d is no more", name, version)
+		}
+		if line := fmt.Sprintf("%s: version %d is %s: %s", name, version, d.Stage, r.Book.Waits(d)); line != said {
+			said = line
+			fmt.Fprintln(out, strings.TrimSuffix(line, ": "))
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("still under way: %s", said)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// dryRun says what a change would change, and who acts on the document.
+func dryRun(w io.Writer, r quorum.Rules, name string, format int, list []rulebook.Difference, asJSON bool) error {
+	type user struct {
+		Name  string `json:"name"`
+		Waits string `json:"waits,omitempty"`
+	}
+	var users []user
+	for _, n := range slices.Sorted(maps.Keys(r.Book.Users)) {
+		reads, uses := r.Book.Users[n].Reads[name]
+		switch {
+		case !uses:
+		case reads < format:
+			users = append(users, user{n, fmt.Sprintf("reads format %d, and this is %d", reads, format)})
+		default:
+			users = append(users, user{Name: n})
+		}
+	}
+	if asJSON {
+		return printJSON(w, map[string]any{"differences": list, "for": users, "stops_sheets": rulebook.Excludes(list)})
+	}
+	if err := diffTable(w, list); err != nil {
+		return err
+	}
+	for _, u := range users {
+		fmt.Fprintf(w, "for %s %s\n", u.Name, u.Waits)
+	}
+	if rulebook.Excludes(list) {
+		fmt.Fprintln(w, "all stop what is exclusive before anybody begins the new")
+	}
+	return nil
+}
+
+func diffTable(out io.Writer, list []rulebook.Difference) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "FIELD\tOLD\tNEW\tKIND")
+	for _, d := range list {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", d.Path, d.Old, d.New, d.Kind)
+	}
+	return w.Flush()
+}
+
+// rulesShow is a command that only shows.
+func rulesShow(use, short string, read func(func(quorum.Rules) error) error, asJSON *bool,
+	show func(w io.Writer, r quorum.Rules, name string, asJSON bool) error) *cobra.Command {
+	args := cobra.MaximumNArgs(1)
+	if !strings.Contains(use, "[") {
+		args = cobra.ExactArgs(1)
+	}
+	return &cobra.Command{Use: use, Short: short, Args: args, RunE: func(c *cobra.Command, args []string) error {
+		return read(func(r quorum.Rules) error {
+			name := ""
+			if len(args) > 0 {
+				name = args[0]
+				if _, err := doc(r, name); err != nil {
+					return err
+				}
+			}
+			return show(c.OutOrStdout(), r, name, *asJSON)
+		})
+	}}
+}
+
+func showDocs(out io.Writer, r quorum.Rules, name string, asJSON bool) error {
+	if name != "" {
+		d := r.Book.Docs[name]
+		switch {
+		case asJSON:
+			return printJSON(out, d)
+		case d.Force == nil:
+			return errors.New("nothing is in force yet")
+		}
+		_, err := io.WriteString(out, d.Force.Text)
+		return err
+	}
+	if asJSON {
+		return printJSON(out, r.Book.Docs)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "DOC\tIN FORCE\tSINCE\tBY\tUNDER WAY\tSTAGE\tWAITS FOR")
+	for _, n := range slices.Sorted(maps.Keys(r.Book.Docs)) {
+		d := r.Book.Docs[n]
+		force, since, by, next := "", "", "", ""
+		if d.Force != nil {
+			force, since, by = d.Force.ID.String(), stamp(d.Force.Since), d.Force.By
+		}
+		if d.Next != nil {
+			next = d.Next.ID.String()
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", n, force, since, by, next, d.Stage, r.Book.Waits(d))
+	}
+	return w.Flush()
+}
+
+func stamp(ms int64) string {
+	if ms == 0 {
+		return ""
+	}
+	return time.UnixMilli(ms).UTC().Format(time.RFC3339)
+}
+
+func showHistory(out io.Writer, r quorum.Rules, name string, asJSON bool) error {
+	d := r.Book.Docs[name]
+	all := slices.Clone(d.History)
+	for _, e := range []*rulebook.Entry{d.Force, d.Next} {
+		if e != nil {
+			all = append(all, e)
+		}
+	}
+	if asJSON {
+		return printJSON(out, all)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "VERSION\tPUT\tBY\tIN FORCE\tWHAT BECAME OF IT")
+	for _, e := range all {
+		became := e.Ended
+		switch {
+		case e == d.Next:
+			became = string(d.Stage)
+		case e == d.Force && became == "":
+			became = "in force"
+		}
+		if e.Back > 0 {
+			became += fmt.Sprintf(" (version %d again)", e.Back)
+		}
+		fmt.Fprintf(w, "%v\t%s\t%s\t%s\t%s\n", e.ID, stamp(e.At), e.By, stamp(e.Since), became)
+	}
+	return w.Flush()
+}
+
+func showWho(out io.Writer, r quorum.Rules, name string, asJSON bool) error {
+	type row struct {
+		Process string `json:"process"`
+		Doc     string `json:"doc"`
+		Acts    int    `json:"acts"`
+		Holds   int    `json:"holds,omitempty"`
+		Reads   int    `json:"reads"`
+		Ago     int64  `json:"heard_ms_ago"` // under 0: not by this leader
+		Stops   string `json:"stops,omitempty"`
+		Refuses string `json:"refuses,omitempty"`
+	}
+	var rows []row
+	for _, n := range slices.Sorted(maps.Keys(r.Book.Users)) {
+		u, h := r.Book.Users[n], r.Heard[n]
+		for _, of := range slices.Sorted(maps.Keys(u.Reads)) {
+			if name != "" && of != name {
+				continue
+			}
+			one := row{Process: n, Doc: of, Acts: h.Acts[of], Holds: u.Holds[of], Reads: u.Reads[of], Ago: h.Ago, Stops: h.Stops}
+			if h.Acts == nil {
+				one.Ago = -1
+			}
+			if d := r.Book.Docs[of]; d != nil && d.Next != nil && u.Refuses[of].Version == d.Next.ID.Version {
+				one.Refuses = u.Refuses[of].Why
+			}
+			rows = append(rows, one)
+		}
+	}
+	if asJSON {
+		return printJSON(out, rows)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "PROCESS\tDOC\tACTS ON\tHOLDS\tREADS\tHEARD AGO\tSTOPS\tREFUSES")
+	for _, x := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%v\t%s\t%s\n", x.Process, x.Doc, x.Acts, x.Holds, x.Reads, time.Duration(x.Ago)*time.Millisecond, x.Stops, x.Refuses)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, n := range slices.Sorted(maps.Keys(r.Book.Docs)) {
+		if d := r.Book.Docs[n]; d.Next != nil && (name == "" || n == name) {
+			fmt.Fprintf(out, "%s version %d is %s; it waits for: %s\n", n, d.Next.ID.Version, d.Stage, r.Book.Waits(d))
+		}
+	}
+	return nil
+}
+
+// rulesDiff compares a file with what is in force, or two versions.
+func rulesDiff(read func(func(quorum.Rules) error) error, asJSON *bool) *cobra.Command {
+	var versions []int
+	diff := &cobra.Command{Use: "diff DOC [FILE]", Short: "Show in which fields a file differs from what is in force, or two versions from each other, and their kinds",
+		Args: cobra.RangeArgs(1, 2), RunE: func(c *cobra.Command, args []string) error {
+			return read(func(r quorum.Rules) error {
+				d, err := doc(r, args[0])
+				if err != nil {
+					return err
+				}
+				var texts [2]string
+				switch {
+				case len(args) == 2 && len(versions) == 0:
+					data, err := os.ReadFile(args[1])
+					if err != nil {
+						return err
+					}
+					if texts[1], _, err = settings.Document(args[0], data); err != nil {
+						return fmt.Errorf("%s: %w", args[1], err)
+					}
+					if d.Force != nil {
+						texts[0] = d.Force.Text
+					}
+				case len(args) == 1 && len(versions) == 2:
+					for i, n := range versions {
+						e := d.Find(n)
+						if e == nil {
+							return fmt.Errorf("version %d of %s is not kept", n, args[0])
+						}
+						texts[i] = e.Text
+					}
+				default:
+					return errors.New("either a file or two --versions")
+				}
+				list, err := rulebook.Diff(args[0], texts[0], texts[1])
+				if err != nil {
+					return err
+				}
+				if *asJSON {
+					return json.NewEncoder(c.OutOrStdout()).Encode(list)
+				}
+				return diffTable(c.OutOrStdout(), list)
+			})
+		}}
+	diff.Flags().IntSliceVar(&versions, "versions", nil, "two versions, the older first")
+	return diff
+}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -157,7 +157,9 @@
 	full := Answer{Outcome: Refused, Wait: set.MaxAdvice}
 	why := ""
 	t := &task{Request: r, class: k, read: now, bell: make(chan struct{}, 1)}
-	t.barred = c.judge(&r)
+	if t.sheet() {
+		t.barred = c.judge(&r)
+	}
 	switch {
 	case c.tasks[r.ID] != nil:
 		why, full = "same_id", Answer{Outcome: Invalid}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,6 +75,7 @@
 	rules  rulebook.Seen // what was heard of others' maps
 	again  chan struct{} // the map is to be read again, as a newer one was heard of
 	used   atomic.Int64  // when a sheet was last sent, by the clock
+	every  atomic.Int64  // nanoseconds between two health checks of a server
 
 	reading sync.Mutex // of the map
 	saidBad time.Time
@@ -107,6 +108,7 @@
 		cfg: cfg, events: events, log: l, stats: s, began: time.Now(), table: routing.New(cfg.Routing), fair: routing.NewFair(),
 		peers: map[string]*peer{}, said: map[string]routing.Health{}, again: make(chan struct{}, 1), room: make(chan struct{}, max(8, cfg.Sockets)),
 	}
+	r.every.Store(int64(cfg.Probe))
 	r.take(m, fresh)
 	return r, nil
 }
@@ -190,7 +192,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(r.cfg.Probe):
+		case <-time.After(r.probeEvery()):
 		}
 	}
 }
--- a/internal/fleet/rules.go
+++ b/internal/fleet/rules.go
@@ -8,6 +8,7 @@
 	"silverpath/internal/cells"
 	"silverpath/internal/core"
 	"silverpath/internal/events"
+	"silverpath/internal/routing"
 	"silverpath/internal/rulebook"
 	"silverpath/internal/settings"
 )
@@ -21,7 +22,7 @@
 
 // terms are those of a map, as this router looks after its servers.
 func (r *Runner) terms(m *cells.Map) rulebook.Terms {
-	return rulebook.Terms{Lease: m.Lease, Skew: m.Skew, Drift: clockDrift, Probe: r.cfg.Probe, Wait: probeWithin, Dual: m.Window + m.Patient + 2*m.Skew}
+	return rulebook.Terms{Lease: m.Lease, Skew: m.Skew, Drift: clockDrift, Probe: r.probeEvery(), Wait: probeWithin, Dual: m.Window + m.Patient + 2*m.Skew}
 }
 
 // clockDrift is by which the monotonic clock of a machine may run fast or slow, as a share.
@@ -94,3 +95,18 @@
 	defer r.mu.Unlock()
 	return r.rules.Judge(r.clock(), m.id)
 }
+
+func (r *Runner) probeEvery() time.Duration { return time.Duration(r.every.Load()) }
+
+// Retune takes up other ways of choosing and trying.
+func (r *Runner) Retune(c routing.Config, probe time.Duration) {
+	r.every.Store(int64(probe))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Retune(c)
+}
+
+// Worth is what was asked for and served since the start.
+func (r *Runner) Worth() rulebook.Worth {
+	return rulebook.Worth{Asked: float64(r.asked.Load()) / 1000, Served: float64(r.served.Load()) / 1000}
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,233 @@
+// Package follow has a process act on the documents that a group agrees on: it asks the group, and carries out what
+// rulebook.Holder decides.
+package follow
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"silverpath/internal/events"
+	"silverpath/internal/quorum"
+	"silverpath/internal/rulebook"
+	"silverpath/internal/stats"
+)
+
+// Document is what a process does with one.
+type Document struct {
+	Format int                     // the highest that it reads
+	Check  func(text string) error // names why this process can't act on a text
+	Take   func(text string) error // acts on it from now on
+}
+
+// Config sets up a Follower.
+type Config struct {
+	Name  string
+	Group *quorum.Client
+	Docs  map[string]Document
+	Worth func() rulebook.Worth // what the process was asked for and has served; nil: it doesn't say
+	Told  func(asked time.Time) // called with when it asked, each time that the group has answered; nil: nobody
+	Log   *log.Logger
+	Stats *stats.Counters
+}
+
+// Formats has a process take other formats for those that it reads, and Rate has its clock run fast or slow, in test programs only.
+var (
+	Formats map[string]int
+	Rate    = 1.0
+)
+
+const (
+	askWithin = time.Second
+	unheard   = 100 * time.Millisecond // between two askings while nothing was heard yet
+	least     = 10 * time.Millisecond
+)
+
+// Follower is a process that acts on documents.
+type Follower struct {
+	cfg   Config
+	began time.Time
+
+	// What a sheet's beginning looks at, without the lock: whoever asks holds locks that a check may wait for.
+	until   atomic.Int64 // it is confirmed until then
+	turning atomic.Bool
+
+	mu      sync.Mutex
+	holder  *rulebook.Holder
+	said    string // why nothing exclusive begins, as last logged
+	saidAt  time.Duration
+	longest time.Duration // that it was unconfirmed
+	bound   time.Duration
+	last    string // what went wrong, as last logged
+	skew    time.Duration
+}
+
+// New returns a follower that has heard of nothing.
+func New(cfg Config) *Follower {
+	var b [4]byte
+	rand.Read(b[:])
+	reads := map[string]int{}
+	for name, d := range cfg.Docs {
+		reads[name] = d.Format
+		if n, other := Formats[name]; other {
+			reads[name] = n
+		}
+	}
+	return &Follower{cfg: cfg, began: time.Now(), holder: rulebook.NewHolder(cfg.Name+"#"+hex.EncodeToString(b[:]), reads)}
+}
+
+func (f *Follower) clock() time.Duration {
+	return time.Duration(float64(time.Since(f.began)) * Rate)
+}
+
+// Stops is why nothing that is exclusive begins, empty where it may.
+func (f *Follower) Stops() string {
+	switch {
+	case int64(f.clock()) >= f.until.Load():
+		return rulebook.Unconfirmed
+	case f.turning.Load():
+		return rulebook.StopsToTurn
+	}
+	return ""
+}
+
+// Keep asks the group until the context ends.
+func (f *Follower) Keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := unheard
+		if f.once(ctx) {
+			f.mu.Lock()
+			wait = max(least, f.holder.Every())
+			f.mu.Unlock()
+		}
+		f.notice()
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// First asks until the group has answered once, or the context ends.
+func (f *Follower) First(ctx context.Context) bool {
+	for !f.once(ctx) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(unheard):
+		}
+	}
+	return true
+}
+
+// once asks the group once, and does what it has to by the answer.
+func (f *Follower) once(ctx context.Context) bool {
+	f.mu.Lock()
+	s := quorum.Sync{User: f.holder.Says(), Has: f.holder.Has(), Acts: f.holder.Acts(), Stops: f.Stops()}
+	asked, wall := f.clock(), time.Now()
+	f.mu.Unlock()
+	if f.cfg.Worth != nil {
+		s.Worth = f.cfg.Worth()
+	}
+	asking, cancel := context.WithTimeout(ctx, askWithin)
+	a, err := f.cfg.Group.Sync(asking, s)
+	cancel()
+	if err != nil {
+		f.cfg.Stats.Inc("rules", "unanswered")
+		f.tell(err)
+		return false
+	}
+	f.mu.Lock()
+	take := f.holder.Told(asked, a.Index, a.Terms, a.Docs, func(name, text string) error { return f.cfg.Docs[name].Check(text) })
+	f.bound = rulebook.Terms{Lease: a.Terms.TTL, Drift: a.Terms.Drift}.Bound()
+	turning := f.holder.Turning()
+	if turning {
+		f.turning.Store(true)
+	}
+	f.until.Store(int64(f.holder.Until()))
+	f.skew = max(f.skew, time.UnixMilli(a.Wall).Sub(time.Now()), wall.Sub(time.UnixMilli(a.Wall)))
+	f.mu.Unlock()
+	f.tell(nil)
+	for _, t := range take {
+		err := f.cfg.Docs[t.Doc].Take(t.Entry.Text)
+		if err != nil { // it was checked: something has changed since
+			f.cfg.Stats.Inc("rules", "bad")
+			events.Say(f.cfg.Log, "rules.bad", t.Doc, t.Entry.ID, err)
+			continue
+		}
+		f.cfg.Stats.Inc("rules", "taken", t.Doc)
+		events.Say(f.cfg.Log, "rules.acts", t.Doc, t.Entry.ID)
+	}
+	f.turning.Store(turning) // not before the new is acted on
+	if f.cfg.Told != nil {
+		f.cfg.Told(wall)
+	}
+	return true
+}
+
+// notice logs when something exclusive stops, or may begin again.
+func (f *Follower) notice() {
+	f.mu.Lock()
+	now := f.clock()
+	why, was, since := f.Stops(), f.said, f.saidAt
+	changed := why != was
+	if changed {
+		f.said, f.saidAt = why, now
+	}
+	if was == rulebook.Unconfirmed {
+		f.longest = max(f.longest, now-since)
+	}
+	f.mu.Unlock()
+	switch {
+	case !changed:
+	case why != "":
+		f.cfg.Stats.Inc("rules", "stopped", why)
+		events.Say(f.cfg.Log, "rules.stops", why)
+	default:
+		events.Say(f.cfg.Log, "rules.goes_on", was, now-since)
+	}
+}
+
+// tell logs what went wrong, once while it stays the same.
+func (f *Follower) tell(err error) {
+	text := ""
+	if err != nil {
+		text = "can't ask the group"
+	}
+	f.mu.Lock()
+	changed := text != f.last
+	f.last = text
+	f.mu.Unlock()
+	if changed && err != nil {
+		events.Say(f.cfg.Log, "rules.unanswered", err)
+	}
+}
+
+// Status is what it goes by, as a JSON object.
+func (f *Follower) Status() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	var a fastjson.Arena
+	o := a.NewObject()
+	o.Set("who", a.NewString(f.holder.Who))
+	o.Set("stops", a.NewString(f.Stops()))
+	o.Set("confirmed_ms_ago", a.NewNumberInt(int((now - f.holder.Asked()).Milliseconds())))
+	o.Set("bound_ms", a.NewNumberInt(int(f.bound.Milliseconds())))
+	o.Set("longest_unconfirmed_ms", a.NewNumberInt(int(f.longest.Milliseconds())))
+	o.Set("clock_off_ms", a.NewNumberInt(int(f.skew.Milliseconds())))
+	acts, list := f.holder.Acts(), a.NewObject()
+	for _, name := range slices.Sorted(maps.Keys(acts)) {
+		list.Set(name, a.NewNumberInt(acts[name]))
+	}
+	o.Set("acts", list)
+	return o.MarshalTo(nil)
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -1,4 +1,4 @@
-// Package group is the state that a group agrees on: who owns each duty, and the duties' journals. It is the same on every
+// Package group is the state that a group agrees on: who owns each duty, the duties' journals, and the rules. It is the same on every
 // member after the same log; it has no I/O, no clock and no goroutine.
 package group
 
@@ -10,14 +10,16 @@
 
 	"silverpath/internal/duties"
 	"silverpath/internal/lease"
+	"silverpath/internal/rulebook"
 )
 
 // Command is one entry of the log: one of its parts is set.
 type Command struct {
-	Ask    *lease.Ask    `json:"ask,omitempty"`
-	Submit *Submit       `json:"submit,omitempty"`
-	Wish   *Wish         `json:"wish,omitempty"`
-	Write  *duties.Write `json:"write,omitempty"`
+	Ask    *lease.Ask       `json:"ask,omitempty"`
+	Submit *Submit          `json:"submit,omitempty"`
+	Wish   *Wish            `json:"wish,omitempty"`
+	Write  *duties.Write    `json:"write,omitempty"`
+	Rule   *rulebook.Change `json:"rule,omitempty"`
 }
 
 // Submit queues a request to a duty.
@@ -37,11 +39,12 @@
 
 // Result is what a command came to.
 type Result struct {
-	Error string       `json:"error,omitempty"`
-	Kind  string       `json:"kind,omitempty"` // of the error, for programs: stale, step, paused
-	Duty  *lease.Duty  `json:"duty,omitempty"`
-	Item  *duties.Item `json:"item,omitempty"`
-	Step  uint64       `json:"step,omitempty"` // of the journal
+	Error   string       `json:"error,omitempty"`
+	Kind    string       `json:"kind,omitempty"` // of the error, for programs: stale, step, paused
+	Duty    *lease.Duty  `json:"duty,omitempty"`
+	Item    *duties.Item `json:"item,omitempty"`
+	Step    uint64       `json:"step,omitempty"`    // of the journal
+	Version int          `json:"version,omitempty"` // of the change of a document
 }
 
 // Kinds of errors.
@@ -64,11 +67,12 @@
 	Members  map[uint64]Peer            `json:"members"`
 	Table    *lease.Table               `json:"table"`
 	Journals map[string]*duties.Journal `json:"journals"`
+	Rules    *rulebook.Book             `json:"rules"`
 }
 
 // New returns the state of a group of a generation.
 func New(generation uint32) *State {
-	return &State{lease.Terms{}, map[uint64]Peer{}, lease.NewTable(generation), map[string]*duties.Journal{}}
+	return &State{lease.Terms{}, map[uint64]Peer{}, lease.NewTable(generation), map[string]*duties.Journal{}, rulebook.NewBook()}
 }
 
 // Journal returns a duty's journal, an empty one for none.
@@ -118,6 +122,14 @@
 			err := j.Write(*c.Write, s.Table)
 			r.Step = j.Step
 			return err
+		case c.Rule != nil:
+			d, err := s.Rules.Apply(*c.Rule)
+			if d != nil && d.Next != nil {
+				r.Version = d.Next.ID.Version
+			} else if d != nil && d.Force != nil {
+				r.Version = d.Force.ID.Version
+			}
+			return err
 		}
 		return errors.New("an empty command")
 	}()
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -182,6 +182,28 @@
 	return v, json.Unmarshal(out, &v)
 }
 
+// Sync says what a process that acts on documents has to say, and returns what is in force.
+func (c *Client) Sync(ctx context.Context, s Sync) (a Synced, err error) {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return a, err
+	}
+	out, err := c.ask(ctx, "rules.sync", nil, body)
+	if err != nil {
+		return a, err
+	}
+	return a, json.Unmarshal(out, &a)
+}
+
+// Rules reads the documents, and who acts on which.
+func (c *Client) Rules(ctx context.Context) (r Rules, err error) {
+	out, err := c.ask(ctx, "rules.read", nil, nil)
+	if err != nil {
+		return r, err
+	}
+	return r, json.Unmarshal(out, &r)
+}
+
 // StatusOf asks one member what it is.
 func (c *Client) StatusOf(ctx context.Context, addr string) (s Status, err error) {
 	a, err := c.Say(ctx, addr, "group.status", nil, nil)
--- a/internal/quorum/member/member.go
+++ b/internal/quorum/member/member.go
@@ -27,6 +27,7 @@
 	"silverpath/internal/lease"
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/quorum"
+	"silverpath/internal/rulebook"
 	"silverpath/internal/stats"
 )
 
@@ -72,6 +73,7 @@
 	applied   uint64
 	snapAt    uint64
 	watch     *lease.Watch
+	users     *rulebook.Watch
 	marks     map[uint64]mark
 	marksNew  bool
 	said      mark
@@ -140,6 +142,7 @@
 	m := &Member{
 		cfg: cfg, log: cfg.Log.With().Str("process", cfg.Name).Logger(), stats: cfg.Stats, began: time.Now(),
 		calls: make(chan func(), 256), ended: make(chan struct{}), disk: disk, marks: marks, watch: lease.NewWatch(lease.Terms{}),
+		users:   rulebook.NewWatch(lease.Terms{}),
 		vouched: map[uint64]bool{}, peers: map[uint64]*peer{}, waiting: map[uint64]func(group.Result, bool){},
 		reads: map[string]read{}, salt: binary.BigEndian.Uint64(salt[:]), state: group.New(0), conf: &pb.ConfState{},
 	}
@@ -184,7 +187,7 @@
 	} else if m.state, err = group.Restore(snap.GetData()); err != nil {
 		return fmt.Errorf("%s: %w", m.cfg.Dir, err)
 	}
-	m.watch = lease.NewWatch(m.state.Terms)
+	m.watch, m.users = lease.NewWatch(m.state.Terms), rulebook.NewWatch(m.state.Terms)
 	m.conf = snap.GetMetadata().GetConfState()
 	m.applied = snap.GetMetadata().GetIndex()
 	m.snapAt = m.applied
@@ -303,7 +306,7 @@
 		m.state, m.conf = state, rd.Snapshot.GetMetadata().GetConfState()
 		m.applied = rd.Snapshot.GetMetadata().GetIndex()
 		m.snapAt = m.applied
-		m.watch = lease.NewWatch(state.Terms)
+		m.watch, m.users = lease.NewWatch(state.Terms), rulebook.NewWatch(state.Terms)
 		m.meet()
 	}
 	if rd.SoftState != nil {
@@ -351,11 +354,13 @@
 	m.leads, m.caughtUp = leads, false
 	if leads {
 		m.watch.Lead(m.clock())
+		m.users.Lead(m.clock())
 		m.log.Info().Str("event", "group.leads").Uint64("term", m.raw.BasicStatus().GetTerm()).Send()
 		m.stats.Inc("group", "led")
 		return
 	}
 	m.watch.Follow()
+	m.users.Follow()
 	m.log.Info().Str("event", "group.follows").Send()
 	m.fail()
 }
@@ -395,6 +400,9 @@
 		if c.Ask != nil {
 			m.asked(*c.Ask, r)
 		}
+		if c.Rule != nil {
+			m.ruled(*c.Rule, r)
+		}
 		id := binary.BigEndian.Uint64(e.GetData())
 		if done := m.waiting[id]; done != nil {
 			delete(m.waiting, id)
@@ -448,6 +456,7 @@
 				m.watch.Dropped(a)
 			}
 		}
+		m.overRules()
 	}
 	for ctx, r := range m.reads {
 		if time.Since(r.since) > quorum.WordWithin {
@@ -473,6 +482,9 @@
 	if c.Ask != nil {
 		c.Ask.At = time.Now().UnixMilli()
 	}
+	if c.Rule != nil {
+		c.Rule.At = time.Now().UnixMilli()
+	}
 	m.seq++
 	id := m.salt + m.seq
 	b, err := entry(id, c)
--- /dev/null
+++ b/internal/quorum/member/rules.go
@@ -0,0 +1,177 @@
+package member
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"silverpath/internal/group"
+	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/quorum"
+	"silverpath/internal/rulebook"
+)
+
+// This file is a member's part in the rules: words of the processes that act on documents, and the leader's time over them.
+
+// sync registers a process, takes what it says of itself, and tells it what is in force. Like a renewal it is answered once a
+// majority has said that this member led after the word came; only news goes into the log.
+func (m *Member) sync(w msgpackrpc.Word, answer func(msgpackrpc.Verdict)) {
+	var s quorum.Sync
+	if err := json.Unmarshal(w.Body, &s); err != nil || s.User.Name == "" {
+		answer(no(quorum.WordNo, "nobody says this"))
+		return
+	}
+	if !m.leads || !m.caughtUp {
+		answer(m.elsewhere())
+		return
+	}
+	if !m.users.Heard(s.User.Name, m.clock(), s.Acts, s.Worth, s.Stops) {
+		answer(msgpackrpc.Verdict{Error: quorum.WordLost}) // its end is on its way: then it registers anew
+		return
+	}
+	tell := func(ok bool) {
+		u := m.state.Rules.Users[s.User.Name]
+		if !ok || u == nil {
+			answer(msgpackrpc.Verdict{Error: quorum.WordLost})
+			return
+		}
+		b, err := json.Marshal(quorum.Synced{Terms: m.state.Terms, Index: m.applied, Wall: time.Now().UnixMilli(), Docs: views(m.state.Rules, u, s.Has)})
+		if err != nil {
+			answer(no(quorum.WordNo, "%v", err))
+			return
+		}
+		answer(msgpackrpc.Verdict{Body: b})
+	}
+	var err error
+	if m.state.Rules.New(s.User) {
+		c := rulebook.Change{Op: rulebook.Say, User: &s.User}
+		if m.state.Rules.Users[s.User.Name] == nil {
+			c.Op = rulebook.Join
+		}
+		err = m.propose(group.Command{Rule: &c}, func(r group.Result, ok bool) {
+			if ok && r.Error != "" {
+				answer(no(quorum.WordNo, "%s", r.Error))
+				return
+			}
+			tell(ok)
+		})
+	} else {
+		err = m.confirmLead(tell)
+	}
+	if err != nil {
+		answer(m.elsewhere())
+	}
+}
+
+// views are the documents as a process is told of them.
+func views(b *rulebook.Book, u *rulebook.User, has map[string][]int) map[string]rulebook.View {
+	brief := func(e *rulebook.Entry, has []int) *rulebook.Entry {
+		if e == nil || !slices.Contains(has, e.ID.Version) {
+			return e
+		}
+		short := *e
+		short.Text = ""
+		return &short
+	}
+	all := map[string]rulebook.View{}
+	for name := range u.Reads {
+		d := b.Docs[name]
+		if d == nil {
+			continue
+		}
+		v := rulebook.View{Force: brief(d.Force, has[name])}
+		if d.Handed(u) {
+			v.Next, v.Stage = brief(d.Next, has[name]), d.Stage
+		}
+		all[name] = v
+	}
+	return all
+}
+
+// readRules answers with the documents, and what was heard of those that use them.
+func (m *Member) readRules(answer func(msgpackrpc.Verdict)) {
+	err := m.confirmLead(func(ok bool) {
+		if !ok {
+			answer(msgpackrpc.Verdict{Error: quorum.WordLost})
+			return
+		}
+		b, err := json.Marshal(quorum.Rules{Book: m.state.Rules, Heard: m.users.List(m.clock()), Terms: m.state.Terms, Wall: time.Now().UnixMilli()})
+		if err != nil {
+			answer(no(quorum.WordNo, "%v", err))
+			return
+		}
+		answer(msgpackrpc.Verdict{Body: b})
+	})
+	if err != nil {
+		answer(m.elsewhere())
+	}
+}
+
+// mayAsk names why a change of the rules can't be asked for from outside, and completes it.
+func (m *Member) mayAsk(c *rulebook.Change) string {
+	switch c.Op {
+	case rulebook.Put, rulebook.Withdraw, rulebook.TakeBack, rulebook.Hold, rulebook.Release:
+	default:
+		return "only the group's leader may"
+	}
+	if !slices.Contains(rulebook.Docs, c.Doc) {
+		return "no such document: " + c.Doc
+	}
+	if c.By == rulebook.Watcher {
+		return "only the group's leader may"
+	}
+	if c.Op != rulebook.Put {
+		return ""
+	}
+	old, version := "", 0
+	if d := m.state.Rules.Docs[c.Doc]; d != nil && d.Force != nil {
+		old, version = d.Force.Text, d.Force.ID.Version
+	}
+	if c.Version != version {
+		return rulebook.ErrBase.Error() // what it differs in would be seen against another one
+	}
+	list, err := rulebook.Diff(c.Doc, old, c.Text)
+	if err != nil {
+		return err.Error()
+	}
+	if at := rulebook.Bound(list); c.Try != nil && c.Try.Part > 0 && old != "" && at != "" {
+		return "a part of the fleet can't act on it first: it differs in " + at
+	}
+	c.Exclusive = old != "" && rulebook.Excludes(list)
+	return ""
+}
+
+// overRules proposes what the leader's time has come for.
+func (m *Member) overRules() {
+	for _, c := range m.users.Due(m.state.Rules, m.clock()) {
+		if err := m.propose(group.Command{Rule: &c}, nil); err != nil && c.Op == rulebook.Lapse {
+			m.users.Lapsed(c.By)
+		}
+	}
+}
+
+// ruled follows what was applied.
+func (m *Member) ruled(c rulebook.Change, r group.Result) {
+	if c.Op == rulebook.Lapse {
+		m.users.Lapsed(c.By)
+	}
+	if !m.leads || c.Op == rulebook.Say {
+		return
+	}
+	who := c.By
+	if c.User != nil {
+		who = c.User.Name
+	}
+	m.stats.Inc("rules", string(c.Op))
+	line := m.log.Info().Str("event", "rules.changed").Str("op", string(c.Op)).Str("who", who)
+	if c.Doc != "" {
+		line = line.Str("doc", c.Doc).Int("version", r.Version)
+	}
+	if c.Why != "" {
+		line = line.Str("why", c.Why)
+	}
+	if r.Error != "" {
+		line = line.Str("refused", r.Error)
+	}
+	line.Send()
+}
--- a/internal/quorum/member/words.go
+++ b/internal/quorum/member/words.go
@@ -73,6 +73,10 @@
 		m.renew(w, answer)
 	case "group.read":
 		m.read(w, answer)
+	case "rules.sync":
+		m.sync(w, answer)
+	case "rules.read":
+		m.readRules(answer)
 	case "group.add", "group.remove":
 		m.change(w, answer)
 	default:
@@ -242,6 +246,16 @@
 		answer(no(quorum.WordNo, "only the group's leader may"))
 		return
 	}
+	if c.Rule != nil {
+		if !m.leads || !m.caughtUp {
+			answer(m.elsewhere())
+			return
+		}
+		if why := m.mayAsk(c.Rule); why != "" {
+			answer(result(group.Result{Error: why}, true))
+			return
+		}
+	}
 	if c.Ask != nil && c.Ask.Op == lease.Acquire && m.leads {
 		// Who has it, or waits already, changes nothing: no word in the log.
 		if d := m.state.Table.Duties[c.Ask.Duty]; d != nil && (d.Holder == c.Ask.Who || slices.Contains(d.Queue, c.Ask.Who)) {
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -13,6 +13,7 @@
 	"silverpath/internal/duties"
 	"silverpath/internal/group"
 	"silverpath/internal/lease"
+	"silverpath/internal/rulebook"
 )
 
 // WordWithin is how long an answer to a word is waited for.
@@ -78,3 +79,28 @@
 	Drift     float64      `json:"drift"`
 	Confirmed bool         `json:"confirmed"`
 }
+
+// Sync is what a process that acts on documents says of itself, to be told what is in force.
+type Sync struct {
+	User  rulebook.User    `json:"user"`
+	Has   map[string][]int `json:"has"` // the versions whose texts it has
+	Acts  map[string]int   `json:"acts"`
+	Worth rulebook.Worth   `json:"worth"`
+	Stops string           `json:"stops,omitempty"`
+}
+
+// Synced is what it is told.
+type Synced struct {
+	Terms lease.Terms              `json:"terms"`
+	Index uint64                   `json:"index"` // of the log, up to which this is told
+	Wall  int64                    `json:"wall"`  // the leader's clock as it answered, in Unix milliseconds
+	Docs  map[string]rulebook.View `json:"docs"`
+}
+
+// Rules is what can be read of the documents: the book, and what the group's leader has heard of those that use it.
+type Rules struct {
+	Book  *rulebook.Book            `json:"book"`
+	Heard map[string]rulebook.Heard `json:"heard"`
+	Terms lease.Terms               `json:"terms"`
+	Wall  int64                     `json:"wall"`
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -152,6 +152,13 @@
 	}
 }
 
+// Retune takes up other budgets and bounds; what is known of servers, and of what was spent, stays.
+func (t *Table) Retune(c Config) {
+	c.Window, c.Seed, c.Open = t.cfg.Window, t.cfg.Seed, t.cfg.Open
+	t.cfg = c.complete()
+	t.retries.share, t.hedges.share = t.cfg.Retries, t.cfg.Hedges
+}
+
 // Members sets the servers that there are, with their weights. Who stays keeps all that is known of it.
 func (t *Table) Members(now time.Duration, weights map[string]float64) {
 	for name := range t.servers {
--- /dev/null
+++ b/internal/rulebook/kinds.go
@@ -0,0 +1,233 @@
+package rulebook
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Kind is what two processes that act on different values of a field do to each other.
+type Kind int
+
+const (
+	Unknown   Kind = iota // not in the table: taken for Exclusive
+	Own                   // it is the process's own: nobody else acts on it
+	Free                  // nothing: each does its work a little differently
+	Monotone              // a window: it may grow at once, and shrinks only once the longer one has run out
+	Shared                // parts of it are granted with a lease, and never sum to more than the whole
+	Announced             // exclusive, and kept apart by the times that stand in the document
+	Exclusive             // the old stops everywhere before the new begins anywhere
+)
+
+func (k Kind) String() string {
+	return [...]string{"unknown", "own", "free", "monotone", "shared", "announced", "exclusive"}[k]
+}
+
+// The documents that there are.
+const (
+	DocMap     = "map"     // the cell map
+	DocRouting = "routing" // a router's retries, hedges and health
+	DocClasses = "classes" // the classes of a site
+	DocPools   = "pools"   // the pools of an edge file
+)
+
+// Docs are their names.
+var Docs = []string{DocMap, DocRouting, DocClasses, DocPools}
+
+// kinds are those of all fields, by document, with the indexes of arrays left out.
+var kinds = func() map[string]Kind {
+	all := map[string]Kind{}
+	add := func(k Kind, doc, fields string) {
+		for _, f := range strings.Fields(fields) {
+			all[doc+":"+f] = k
+		}
+	}
+	for _, doc := range Docs {
+		add(Free, doc, "format")
+	}
+	add(Free, DocMap, "version epoch servers[].mgmt")
+	add(Monotone, DocMap, "window_ms")
+	add(Exclusive, DocMap, "skew_ms lease_ms patience_ms cells[].name")
+	add(Shared, DocMap, "cells[].capacity tenants[].rate")
+	add(Announced, DocMap, `servers[].name servers[].addr servers[].cell servers[].weight servers[].from_ms servers[].until_ms
+		tenants[].name tenants[].homes[].cell tenants[].homes[].shard tenants[].homes[].from_ms tenants[].homes[].abort`)
+	add(Free, DocRouting, "probe_ms retries hedges most_out panic slow_start_ms")
+	add(Free, DocPools, `pools[].name pools[].classes pools[].weight pools[].floor limit.least limit.start limit.fixed memory.tight
+		memory.scarce memory.critical`)
+	add(Exclusive, DocClasses, "classes[].name classes[].effect")
+	add(Monotone, DocClasses, "classes[].memory_span")
+	add(Free, DocClasses, "classes[].target classes[].aim_stretch classes[].deadline classes[].worth classes[].late_worth")
+	// What stands in a process's own files. Of the classes there the same holds as in the document of them, for those processes
+	// that have no group: what differs is found by nobody then.
+	add(Own, "config", `name listen mgmt vm announce vault seed stop_ms limits.memory_mb limits.sockets scgi.listen scgi.upstream
+		scgi.max_body scgi.class scgi.tenant scgi.deadline_ms scgi.held_kb scgi.half_close scgi.upstream_timeout_ms snmp.listen
+		snmp.community settings.family_info.below settings.family_info.callers settings.family_info.calls_by_class
+		settings.family_info.cold settings.family_info.cpus settings.family_info.dep_share settings.family_info.dep_window
+		settings.family_info.fresh_for settings.family_info.gauges settings.family_info.keepalive_max settings.family_info.key_kb
+		settings.family_info.linger settings.family_info.memory_kb settings.family_info.preemption settings.family_info.readiness
+		settings.family_info.run_factor settings.family_info.say settings.family_info.worth_without settings.rules.cold_from
+		settings.rules.drain_grace settings.rules.fall_multiple settings.rules.overload_for settings.rules.warm_within
+		settings.tenants[].name settings.tenants[].allowance_per_s settings.servers settings.tier`)
+	add(Free, "config", `settings.client_habits.marks_retry settings.limits.retry_after settings.limits.max_retry_after
+		settings.over_share_worth settings.worth_by settings.scoring_mix.whole settings.scoring_mix.worst_class
+		settings.scoring_mix.worst_tenant settings.scoring_mix.worst_window`)
+	for _, f := range []string{"classes[].name", "classes[].effect", "classes[].memory_span", "classes[].target", "classes[].aim_stretch",
+		"classes[].deadline", "classes[].worth", "classes[].late_worth"} {
+		all["config:settings."+f] = all[DocClasses+":"+f]
+	}
+	add(Own, "edge", `status cell reserve.connections reserve.cheap_per_s reserve.cheap_each_per_s orders.state orders.group
+		orders.members rules.group rules.members rules.documents fleet.map fleet.state`)
+	for _, f := range strings.Fields("probe_ms retries hedges most_out panic slow_start_ms") {
+		all["edge:fleet."+f] = all[DocRouting+":"+f]
+	}
+	for _, f := range strings.Fields(`pools[].name pools[].classes pools[].weight pools[].floor limit.least limit.start limit.fixed
+		memory.tight memory.scarce memory.critical`) {
+		all["edge:"+f] = all[DocPools+":"+f]
+	}
+	add(Own, "quorum", `name group members log member.listen member.addr member.dir member.tick_ms member.snmp.listen
+		member.snmp.community owner.duties owner.map owner.routers owner.gone_after_ms`)
+	return all
+}()
+
+// KindOf is the kind of a field of a document, by a path whose indexes may be left out.
+func KindOf(doc, path string) Kind { return kinds[doc+":"+plain(path)] }
+
+// plain leaves the indexes and names out of a path.
+func plain(path string) string {
+	var b strings.Builder
+	in := false
+	for _, c := range path {
+		if c == ']' {
+			in = false
+		}
+		if !in {
+			b.WriteRune(c)
+		}
+		if c == '[' {
+			in = true
+		}
+	}
+	return b.String()
+}
+
+// Difference is a field in which two documents differ. An element of an array that has a name is told by it.
+type Difference struct {
+	Path string `json:"path"`
+	Old  string `json:"old,omitempty"` // empty: it is new
+	New  string `json:"new,omitempty"` // empty: it is gone
+	Kind string `json:"kind"`
+	kind Kind
+}
+
+// Diff are the fields in which two texts of a document differ. Either may be empty.
+func Diff(doc, old, text string) (list []Difference, err error) {
+	var a, b any
+	for _, t := range []struct {
+		text string
+		into *any
+	}{{old, &a}, {text, &b}} {
+		if t.text == "" {
+			*t.into = map[string]any{}
+		} else if err := json.Unmarshal([]byte(t.text), t.into); err != nil {
+			return nil, fmt.Errorf("%s: not JSON: %w", doc, err)
+		}
+	}
+	walk("", a, b, func(path string, old, new any) {
+		k := KindOf(doc, path)
+		list = append(list, Difference{path, show(old), show(new), k.String(), k})
+	})
+	slices.SortFunc(list, func(a, b Difference) int { return strings.Compare(a.Path, b.Path) })
+	return list, nil
+}
+
+// Excludes reports whether a change differs in what must stop everywhere before it begins anywhere. What has no kind is taken
+// for that.
+func Excludes(list []Difference) bool {
+	return slices.ContainsFunc(list, func(d Difference) bool { return d.kind == Exclusive || d.kind == Unknown })
+}
+
+// Bound names the first field of a change that a part of the fleet can't act on alone, empty for none.
+func Bound(list []Difference) string {
+	for _, d := range list {
+		if d.kind != Free {
+			return d.Path
+		}
+	}
+	return ""
+}
+
+// Window is what holds now of a window that changes from one length to another, and how long until the new one does: what ran by
+// the longer one may come again until then, and a patience beyond.
+func Window(old, next, patience time.Duration) (now, until time.Duration) {
+	if next >= old {
+		return next, 0
+	}
+	return old, old + patience
+}
+
+func show(v any) string {
+	if v == nil {
+		return ""
+	}
+	b, _ := json.Marshal(v)
+	return string(b)
+}
+
+// walk calls fn with every leaf that differs.
+func walk(path string, a, b any, fn func(path string, a, b any)) {
+	switch x := either(a, b).(type) {
+	case map[string]any:
+		av, _ := a.(map[string]any)
+		bv, _ := b.(map[string]any)
+		for key := range union(av, bv) {
+			walk(strings.TrimPrefix(path+"."+key, "."), av[key], bv[key], fn)
+		}
+	case []any:
+		av, bv := named(a), named(b)
+		for key := range union(av, bv) {
+			walk(path+"["+key+"]", av[key], bv[key], fn)
+		}
+	default:
+		_ = x
+		if show(a) != show(b) {
+			fn(path, a, b)
+		}
+	}
+}
+
+func either(a, b any) any {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+func union(a, b map[string]any) map[string]bool {
+	all := map[string]bool{}
+	for key := range a {
+		all[key] = true
+	}
+	for key := range b {
+		all[key] = true
+	}
+	return all
+}
+
+// named are the elements of an array by their names, or by their numbers.
+func named(v any) map[string]any {
+	list, _ := v.([]any)
+	all := map[string]any{}
+	for i, e := range list {
+		key := strconv.Itoa(i)
+		if o, ok := e.(map[string]any); ok {
+			if name, ok := o["name"].(string); ok {
+				key = name
+			}
+		}
+		all[key] = e
+	}
+	return all
+}
--- a/internal/service/reload.go
+++ b/internal/service/reload.go
@@ -8,6 +8,7 @@
 
 	"silverpath"
 	"silverpath/internal/events"
+	"silverpath/internal/rulebook"
 	"silverpath/internal/settings"
 )
 
@@ -15,10 +16,15 @@
 // the interpreter, the vault and the announce service. What is under way goes on as it began. The rest of a
 // configuration holds from a start to the end of the process; where it differs, the log says so and the old one holds.
 func (s *Service) Reload(cfg settings.Config) error {
+	s.tuning.Lock()
+	defer s.tuning.Unlock()
 	old := s.cfg
 	if err := old.Replaces(cfg); err != nil {
 		return err
 	}
+	if s.agreed {
+		cfg.Server.Classes = old.Server.Classes
+	}
 	if s.cfg.Retuned(cfg) {
 		if err := s.core.Retune(cfg.Server); err != nil {
 			return fmt.Errorf("settings: %w", err)
@@ -47,7 +53,7 @@
 	for _, field := range s.cfg.Differs(cfg) {
 		events.Say(s.log, "reload.differs", field)
 	}
-	if cfg.Edge.PoolsOn() && old.Edge.PoolsOn() && !reflect.DeepEqual(cfg.Edge.Pools, old.Edge.Pools) {
+	if cfg.Edge.PoolsOn() && old.Edge.PoolsOn() && !cfg.Edge.Rules.Uses(rulebook.DocPools) && !reflect.DeepEqual(cfg.Edge.Pools, old.Edge.Pools) {
 		if err := s.core.ReloadPools(cfg.Edge.Pools); err != nil {
 			events.Say(s.log, "reload.pools_bad", err)
 		} else {
--- a/internal/service/router.go
+++ b/internal/service/router.go
@@ -8,11 +8,11 @@
 
 // asRouter makes the service a router: the fleet is its runner, and it has no interpreter and nothing below.
 func (s *Service) asRouter(b Budget) error {
-	set := s.cfg.Edge.Fleet
-	src, err := fleet.OpenFile(set.Map, set.State)
+	src, err := s.routerRules()
 	if err != nil {
-		return fmt.Errorf("fleet.state: %w", err)
+		return err
 	}
+	set := s.cfg.Edge.Fleet
 	r := set.Routing
 	r.Seed = uint64(s.cfg.Seed)
 	s.fleet, err = fleet.New(fleet.Config{Name: s.cfg.Name, Source: src, Routing: r, Cores: s.cfg.Server.Cores, Probe: set.Probe, Sockets: b.Upstream},
--- /dev/null
+++ b/internal/service/rules.go
@@ -0,0 +1,190 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"silverpath/internal/events"
+	"silverpath/internal/fleet"
+	"silverpath/internal/follow"
+	"silverpath/internal/quorum"
+	"silverpath/internal/rulebook"
+	"silverpath/internal/settings"
+)
+
+const (
+	hearWithin = 2 * time.Second // a router that has kept a map waits so long for the group as it starts
+	mapWithin  = 20 * time.Second
+)
+
+// followRules has the process act on documents of a group, where an edge file says so. Own says what it does with those that
+// only its role uses.
+func (s *Service) followRules(own map[string]follow.Document, worth func() rulebook.Worth, told func(time.Time)) error {
+	set := s.cfg.Edge.Rules
+	if set == nil {
+		return nil
+	}
+	docs := map[string]follow.Document{}
+	for i, name := range set.Docs {
+		d, ok := own[name]
+		if name == rulebook.DocClasses {
+			d, ok = follow.Document{Format: 1, Check: s.checkClasses, Take: s.takeClasses}, true
+		}
+		if !ok {
+			return fmt.Errorf("rules.documents[%d]: this process has no use for %q", i, name)
+		}
+		docs[name] = d
+	}
+	s.follow = follow.New(follow.Config{
+		Name: s.cfg.Name, Group: &quorum.Client{Group: set.Group.Name, Addrs: set.Group.Members}, Docs: docs, Worth: worth, Told: told,
+		Log: s.log, Stats: s.stats,
+	})
+	s.core.Bar(s.follow.Stops)
+	s.core.Tells("follows", s.follow.Status)
+	s.keep = append(s.keep, s.follow.Keep)
+	return nil
+}
+
+func (s *Service) checkClasses(text string) error {
+	s.tuning.Lock()
+	defer s.tuning.Unlock()
+	_, err := settings.ParseClasses(text, s.cfg.Server)
+	return err
+}
+
+// takeClasses takes up the group's classes. A window that is shorter than before holds at its old length until what ran by that
+// can't come again.
+func (s *Service) takeClasses(text string) error {
+	s.tuning.Lock()
+	defer s.tuning.Unlock()
+	next, err := settings.ParseClasses(text, s.cfg.Server)
+	if err != nil {
+		return err
+	}
+	s.classes++
+	s.agreed = true
+	mine, wait := s.classes, time.Duration(0)
+	now := next
+	now.Classes = append(next.Classes[:0:0], next.Classes...)
+	for i, k := range now.Classes {
+		for _, old := range s.cfg.Server.Classes {
+			if old.Name == k.Name {
+				window, until := rulebook.Window(old.KeyWindow, k.KeyWindow, max(old.Deadline, k.Deadline))
+				now.Classes[i].KeyWindow, wait = window, max(wait, until)
+			}
+		}
+	}
+	if err := s.core.Retune(now); err != nil {
+		return err
+	}
+	s.cfg.Server = now
+	if wait > 0 {
+		time.AfterFunc(wait, func() {
+			s.tuning.Lock()
+			defer s.tuning.Unlock()
+			if s.classes != mine { // others have come meanwhile
+				return
+			}
+			if err := s.core.Retune(next); err != nil {
+				events.Say(s.log, "rules.bad", rulebook.DocClasses, "", err)
+				return
+			}
+			s.cfg.Server = next
+			events.Say(s.log, "reload.settings", classes(next))
+		})
+	}
+	events.Say(s.log, "reload.settings", classes(now))
+	return nil
+}
+
+// poolsDocument is what a server does with the document of its pools.
+func (s *Service) poolsDocument() follow.Document {
+	check := func(text string) error {
+		s.tuning.Lock()
+		defer s.tuning.Unlock()
+		if !s.cfg.Edge.PoolsOn() {
+			return errors.New("this server has no pools")
+		}
+		_, err := settings.ParsePools(text, s.cfg.Server)
+		return err
+	}
+	return follow.Document{Format: 1, Check: check, Take: func(text string) error {
+		if err := check(text); err != nil {
+			return err
+		}
+		s.tuning.Lock()
+		defer s.tuning.Unlock()
+		set, err := settings.ParsePools(text, s.cfg.Server)
+		if err == nil {
+			err = s.core.ReloadPools(set)
+		}
+		if err == nil {
+			s.cfg.Edge.Pools = set
+		}
+		return err
+	}}
+}
+
+// routerRules has a router act on the group's documents, and returns where its map is from.
+func (s *Service) routerRules() (fleet.Source, error) {
+	set := s.cfg.Edge.Fleet
+	rules := s.cfg.Edge.Rules
+	own := map[string]follow.Document{
+		rulebook.DocRouting: {Format: 1, Check: func(text string) error {
+			_, err := settings.ParseRouting(text)
+			return err
+		}, Take: func(text string) error {
+			next, err := settings.ParseRouting(text)
+			if err != nil {
+				return err
+			}
+			next.Routing.Seed = uint64(s.cfg.Seed)
+			if s.fleet == nil { // it starts with them
+				set.Routing, set.Probe = next.Routing, next.Probe
+				return nil
+			}
+			s.fleet.Retune(next.Routing, next.Probe)
+			return nil
+		}},
+	}
+	worth := func() (w rulebook.Worth) {
+		if s.fleet != nil {
+			w = s.fleet.Worth()
+		}
+		return w
+	}
+	if !rules.Uses(rulebook.DocMap) {
+		if err := s.followRules(own, worth, nil); err != nil {
+			return nil, err
+		}
+		src, err := fleet.OpenFile(set.Map, set.State)
+		if err != nil {
+			return nil, fmt.Errorf("fleet.state: %w", err)
+		}
+		return src, nil
+	}
+	src, err := fleet.OpenAgreed(set.State)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.state: %w", err)
+	}
+	own[rulebook.DocMap] = follow.Document{Format: 1, Check: src.Check, Take: src.Take}
+	err = s.followRules(own, worth, func(asked time.Time) {
+		src.Confirm(asked)
+		if s.fleet != nil {
+			s.fleet.Reload()
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	within := mapWithin
+	if _, _, err := src.Load(nil); err == nil {
+		within = hearWithin
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	s.follow.First(ctx)
+	return src, nil
+}
--- a/internal/service/server.go
+++ b/internal/service/server.go
@@ -7,9 +7,11 @@
 
 	"silverpath/internal/core"
 	"silverpath/internal/events"
+	"silverpath/internal/follow"
 	"silverpath/internal/interp"
 	"silverpath/internal/orders"
 	"silverpath/internal/quorum"
+	"silverpath/internal/rulebook"
 	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
 	"silverpath/internal/standin"
@@ -29,6 +31,9 @@
 	if err := s.takeOrders(); err != nil {
 		return err
 	}
+	if err := s.followRules(map[string]follow.Document{rulebook.DocPools: s.poolsDocument()}, nil, nil); err != nil {
+		return err
+	}
 	cfg := s.cfg
 	if cfg.SCGI.Upstream != "" {
 		up := scgi.NewUpstream(cfg.SCGI.Upstream, cfg.Server.Cores, b.Upstream, cfg.SCGI.Timeout, s.core, s.log, s.stats)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -15,6 +16,7 @@
 	"silverpath/internal/core"
 	"silverpath/internal/events"
 	"silverpath/internal/fleet"
+	"silverpath/internal/follow"
 	"silverpath/internal/front"
 	"silverpath/internal/interp"
 	"silverpath/internal/mgmt"
@@ -62,6 +64,10 @@
 	below     *vault.Client        // likewise
 	fleet     *fleet.Runner        // nil but in a router
 	orders    *orders.Orders       // nil: it takes no orders of the fleet
+	follow    *follow.Follower     // nil: it acts on its own files alone
+	tuning    sync.Mutex           // of what holds at present of cfg, and of these:
+	classes   int                  // times that the group's classes were taken up
+	agreed    bool                 // the classes are the group's
 	pair      *pair.Pair           // nil: no process takes over from this one
 	shares    []share              // of the descriptors, by listener
 	worker    *standin.Interpreter // nil but in a start without a configuration
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -12,6 +12,7 @@
 	"silverpath"
 	"silverpath/internal/pools"
 	"silverpath/internal/routing"
+	"silverpath/internal/rulebook"
 )
 
 // Edge sets up what goes beyond the platform, from a file of the operator's own. The zero value is all off.
@@ -23,6 +24,7 @@
 	Reserve *pools.ReserveConfig // nil: none
 	Fleet   *Fleet               // nil: it is no router
 	Orders  *Orders              // nil: it takes no orders of the fleet
+	Rules   *Rules               // nil: it acts on its own files alone
 }
 
 // Orders sets up a server that takes orders of the fleet: see docs/duties.md.
@@ -63,36 +65,14 @@
 	if err != nil {
 		return Edge{}, err
 	}
-	f.only("status", "cell", "pools", "limit", "memory", "reserve", "fleet", "orders")
+	f.only("status", "cell", "pools", "limit", "memory", "reserve", "fleet", "orders", "rules")
 	e := Edge{On: true, Status: true}
 	if f.v.Exists("status") {
 		e.Status = f.flag("status")
 	}
 	e.Cell = f.flag("cell")
-	f.each("pools", func(_ int, p fields) {
-		p.only("name", "classes", "weight", "floor")
-		set := pools.Pool{Name: p.text("name"), Weight: p.number("weight"), Floor: p.number("floor")}
-		for i, k := range p.array("classes") {
-			name, err := k.StringBytes()
-			if err != nil {
-				p.fail(fmt.Sprintf("classes[%d]", i), "not a string")
-				return
-			}
-			if !slices.ContainsFunc(site.Classes, func(c silverpath.Class) bool { return c.Name == string(name) }) {
-				p.fail(fmt.Sprintf("classes[%d]", i), "no class of the site: %q", name)
-				return
-			}
-			set.Classes = append(set.Classes, string(name))
-		}
-		e.Pools.Pools = append(e.Pools.Pools, set)
-	})
 	limit, memory, reserve := f.object("limit"), f.object("memory"), f.object("reserve")
-	limit.only("least", "start", "fixed")
-	e.Pools.Limit = pools.Range{Least: limit.number("least"), Start: limit.number("start"), Fixed: limit.number("fixed")}
-	memory.only("tight", "scarce", "critical")
-	e.Pools.Memory = pools.Memory{
-		Tight: memory.number("tight"), Scarce: memory.number("scarce"), Critical: memory.number("critical"),
-	}
+	e.Pools = readPools(f, site)
 	reserve.only("connections", "cheap_per_s", "cheap_each_per_s")
 	if reserve.v != nil {
 		e.Reserve = &pools.ReserveConfig{
@@ -100,7 +80,8 @@
 			Each: reserve.number("cheap_each_per_s"),
 		}
 	}
-	e.Fleet = readFleet(f.object("fleet"))
+	e.Rules = readRules(f.object("rules"))
+	e.Fleet = readFleet(f.object("fleet"), e.Rules)
 	if o := f.object("orders"); o.v != nil {
 		o.only("state", "group", "members")
 		e.Orders = &Orders{State: o.text("state"), Group: o.group()}
@@ -125,21 +106,58 @@
 	return e, nil
 }
 
-func readFleet(f fields) *Fleet {
+// readPools reads the pools of a site with their limit and memory stages.
+func readPools(f fields, site silverpath.Settings) (set pools.Config) {
+	f.each("pools", func(_ int, p fields) {
+		p.only("name", "classes", "weight", "floor")
+		one := pools.Pool{Name: p.text("name"), Weight: p.number("weight"), Floor: p.number("floor")}
+		for i, k := range p.array("classes") {
+			name, err := k.StringBytes()
+			if err != nil {
+				p.fail(fmt.Sprintf("classes[%d]", i), "not a string")
+				return
+			}
+			if !slices.ContainsFunc(site.Classes, func(c silverpath.Class) bool { return c.Name == string(name) }) {
+				p.fail(fmt.Sprintf("classes[%d]", i), "no class of the site: %q", name)
+				return
+			}
+			one.Classes = append(one.Classes, string(name))
+		}
+		set.Pools = append(set.Pools, one)
+	})
+	limit, memory := f.object("limit"), f.object("memory")
+	limit.only("least", "start", "fixed")
+	set.Limit = pools.Range{Least: limit.number("least"), Start: limit.number("start"), Fixed: limit.number("fixed")}
+	memory.only("tight", "scarce", "critical")
+	set.Memory = pools.Memory{Tight: memory.number("tight"), Scarce: memory.number("scarce"), Critical: memory.number("critical")}
+	return set
+}
+
+func readFleet(f fields, rules *Rules) *Fleet {
 	if f.v == nil {
 		return nil
 	}
 	f.only("map", "state", "probe_ms", "retries", "hedges", "most_out", "panic", "slow_start_ms")
-	set := &Fleet{
-		Map: f.text("map"), State: f.text("state"), Probe: time.Duration(f.integer("probe_ms")) * time.Millisecond,
+	set := readRouting(f)
+	set.Map, set.State = f.text("map"), f.text("state")
+	switch agreed := rules.Uses(rulebook.DocMap); {
+	case set.Map == "" && !agreed:
+		f.fail("map", "missing")
+	case set.Map != "" && agreed:
+		f.fail("map", "the group has it: rules.documents names it too")
+	}
+	return &set
+}
+
+// readRouting reads how a router chooses and tries.
+func readRouting(f fields) Fleet {
+	set := Fleet{
+		Probe: time.Duration(f.integer("probe_ms")) * time.Millisecond,
 		Routing: routing.Config{
 			Retries: f.number("retries"), Hedges: f.number("hedges"), MostOut: f.number("most_out"), Panic: f.number("panic"),
 			SlowStart: time.Duration(f.integer("slow_start_ms")) * time.Millisecond,
 		},
 	}
-	if set.Map == "" {
-		f.fail("map", "missing")
-	}
 	for key, v := range map[string]float64{"retries": set.Routing.Retries, "hedges": set.Routing.Hedges,
 		"most_out": set.Routing.MostOut, "panic": set.Routing.Panic} {
 		if !(v >= 0 && v <= 1) {
--- /dev/null
+++ b/internal/settings/rules.go
@@ -0,0 +1,175 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/valyala/fastjson"
+
+	"silverpath"
+	"silverpath/internal/pools"
+	"silverpath/internal/rulebook"
+)
+
+// Rules sets up a process that acts on documents of a group: see docs/rules.md.
+type Rules struct {
+	Group GroupRef
+	Docs  []string
+}
+
+// Uses reports whether the process acts on a document of the group.
+func (r *Rules) Uses(doc string) bool { return r != nil && slices.Contains(r.Docs, doc) }
+
+func readRules(f fields) *Rules {
+	if f.v == nil {
+		return nil
+	}
+	f.only("group", "members", "documents")
+	set := &Rules{Group: f.group(), Docs: f.texts("documents")}
+	for i, doc := range set.Docs {
+		if !slices.Contains(rulebook.Docs, doc) {
+			f.fail(fmt.Sprintf("documents[%d]", i), "no such document: %q", doc)
+		}
+	}
+	if len(set.Docs) == 0 {
+		f.fail("documents", "none")
+	}
+	return set
+}
+
+// ParseRouting reads the document of how routers choose and try.
+func ParseRouting(text string) (Fleet, error) {
+	var err error
+	f := object([]byte(text), &err)
+	if err != nil {
+		return Fleet{}, err
+	}
+	f.only("format", "probe_ms", "retries", "hedges", "most_out", "panic", "slow_start_ms")
+	set := readRouting(f)
+	return set, err
+}
+
+// ParsePools reads the document of a site's pools and checks it for the site.
+func ParsePools(text string, site silverpath.Settings) (pools.Config, error) {
+	var err error
+	f := object([]byte(text), &err)
+	if err != nil {
+		return pools.Config{}, err
+	}
+	f.only("format", "pools", "limit", "memory")
+	set := readPools(f, site)
+	if err != nil {
+		return set, err
+	}
+	return set, set.Check()
+}
+
+// ParseClasses reads the document of a site's classes, and returns the site's settings with them. What a class may call
+// below, and is worth without, stays the site's own.
+func ParseClasses(text string, site silverpath.Settings) (silverpath.Settings, error) {
+	return parseClasses(text, site, true)
+}
+
+func parseClasses(text string, site silverpath.Settings, whole bool) (silverpath.Settings, error) {
+	var err error
+	f := object([]byte(text), &err)
+	if err != nil {
+		return site, err
+	}
+	f.only("format", "classes")
+	was := site.Classes
+	site.Classes = nil
+	f.each("classes", func(_ int, c fields) {
+		c.only("name", "target", "aim_stretch", "deadline", "worth", "late_worth", "effect", "memory_span")
+		class := readClass(c)
+		for _, old := range was {
+			if old.Name == class.Name {
+				class.CallsBelow, class.WithoutCall = old.CallsBelow, old.WithoutCall
+			}
+		}
+		switch {
+		case class.Name == "":
+			c.fail("name", "missing")
+		case slices.ContainsFunc(site.Classes, func(k silverpath.Class) bool { return k.Name == class.Name }):
+			c.fail("name", "%q given twice", class.Name)
+		case class.Deadline <= 0:
+			c.fail("deadline", "not above 0")
+		case class.Effect == silverpath.Keyed && class.KeyWindow <= 0:
+			c.fail("memory_span", "not above 0")
+		}
+		site.Classes = append(site.Classes, class)
+	})
+	if err != nil {
+		return site, err
+	}
+	if len(site.Classes) == 0 {
+		return site, errors.New("classes: none")
+	}
+	if whole {
+		_, err = silverpath.New(0, site, silent{})
+	}
+	return site, err
+}
+
+// Document is a document's text from a file, with its format. The file may be the document itself, or, for installations that
+// had files alone, an edge file or a configuration: then the part is taken that the document is.
+func Document(name string, data []byte) (text string, format int, err error) {
+	f := object(data, &err)
+	if err != nil {
+		return "", 0, err
+	}
+	if name == rulebook.DocMap {
+		m, err := ParseCells(data)
+		if err != nil {
+			return "", 0, err
+		}
+		return string(FormatCells(m)), 1, nil
+	}
+	v, keys := f.v, []string{}
+	switch name {
+	case rulebook.DocRouting:
+		if fleet := f.v.Get("fleet"); fleet != nil {
+			v = fleet
+		}
+		keys = []string{"probe_ms", "retries", "hedges", "most_out", "panic", "slow_start_ms"}
+	case rulebook.DocClasses:
+		if set := f.v.Get("settings"); set != nil {
+			v = set
+		}
+		keys = []string{"classes"}
+	case rulebook.DocPools:
+		keys = []string{"pools", "limit", "memory"}
+	default:
+		return "", 0, fmt.Errorf("no such document: %q", name)
+	}
+	format = 1
+	if n := f.integer("format"); n > 0 {
+		format = int(n)
+		keys = append(keys, "format")
+	}
+	if format > 1 { // of a build that knows more: who reads it says what is wrong with it
+		return string(v.MarshalTo(nil)), format, err
+	}
+	var a fastjson.Arena
+	o := a.NewObject()
+	for _, key := range keys {
+		if part := v.Get(key); part != nil {
+			o.Set(key, part)
+		}
+	}
+	var b bytes.Buffer
+	if err := json.Indent(&b, o.MarshalTo(nil), "", "  "); err != nil {
+		return "", 0, err
+	}
+	text = b.String() + "\n"
+	switch name {
+	case rulebook.DocRouting:
+		_, err = ParseRouting(text)
+	case rulebook.DocClasses:
+		_, err = parseClasses(text, silverpath.Settings{}, false)
+	}
+	return text, format, err
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,8 +39,14 @@
 	}
 }
 
+// asked hears of every member that is looked for, in tests only.
+var asked func(path string)
+
 // get returns a member, nil where it is absent or null. A value of another type is an error.
 func (f fields) get(key string, want fastjson.Type) *fastjson.Value {
+	if asked != nil {
+		asked(f.path + key)
+	}
 	if f.v == nil {
 		return nil
 	}
@@ -103,6 +109,9 @@
 }
 
 func (f fields) flag(key string) bool {
+	if asked != nil {
+		asked(f.path + key)
+	}
 	if f.v == nil {
 		return false
 	}
@@ -185,13 +194,7 @@
 		without = nil
 	}
 	p.each("classes", func(i int, c fields) {
-		class := silverpath.Class{
-			Name: c.text("name"), Aim: c.micros("target"), AimStretch: c.number("aim_stretch"),
-			Deadline: c.micros("deadline"), Worth: c.number("worth"), LateWorth: c.number("late_worth"),
-			Effect: word(c, "effect", map[string]silverpath.Effect{
-				"pure": silverpath.Safe, "token": silverpath.Keyed, "side_effect": silverpath.Unsafe}),
-			KeyWindow: c.micros("memory_span"),
-		}
+		class := readClass(c)
 		if len(calls) > 0 {
 			class.CallsBelow = calls[i].GetBool()
 		}
@@ -210,6 +213,16 @@
 	return s, gauges
 }
 
+func readClass(c fields) silverpath.Class {
+	return silverpath.Class{
+		Name: c.text("name"), Aim: c.micros("target"), AimStretch: c.number("aim_stretch"),
+		Deadline: c.micros("deadline"), Worth: c.number("worth"), LateWorth: c.number("late_worth"),
+		Effect: word(c, "effect", map[string]silverpath.Effect{
+			"pure": silverpath.Safe, "token": silverpath.Keyed, "side_effect": silverpath.Unsafe}),
+		KeyWindow: c.micros("memory_span"),
+	}
+}
+
 // Gauges puts readings, in the order of the names that the settings gave, where the module looks for them.
 func Gauges(names []string, values []float64) silverpath.Gauges {
 	var g silverpath.Gauges
