Changes of rules under faults: cut off, stopped, leader killed, group away, clocks apart

Process tests of the documents: a router is cut off or stopped at every step of a change, the group's leader is killed in it and the group is away for longer than a lease, withdrawals cross, a hundred changes by two operators, a bad change is taken back, two builds, clocks apart. What each process could begin, and when, is read from its own log (harness.Acts) and held against all others'.

Found by them: a confirmation that ended while the group was asked was seen by nobody (follow.once); worth of processes that do not use a document hid that a trial went badly (rulebook.Watch.next). New: a router whose wall clock is beyond the skew sends no sheets.

--- a/cmd/silverpath/duty.go
+++ b/cmd/silverpath/duty.go
@@ -133,8 +133,8 @@
 	return cmd
 }
 
-// follow waits until nothing more becomes of an item, and says each change.
-func follow(ctx context.Context, g *quorum.Client, duty, id string, say func(duties.Item)) (duties.Item, error) {
+// followItem waits until nothing more becomes of an item, and says each change.
+func followItem(ctx context.Context, g *quorum.Client, duty, id string, say func(duties.Item)) (duties.Item, error) {
 	var last duties.Item
 	for {
 		v, err := g.Read(ctx, duty)
@@ -169,7 +169,7 @@
 		if _, err := agreed(ctx, g, group.Command{Submit: &group.Submit{Duty: duties.MapKeeper, ID: id, Kind: kind, Args: raw}}); err != nil {
 			return err
 		}
-		it, err := follow(ctx, g, duties.MapKeeper, id, func(duties.Item) {})
+		it, err := followItem(ctx, g, duties.MapKeeper, id, func(duties.Item) {})
 		if err != nil {
 			return err
 		}
@@ -214,7 +214,7 @@
 				if !wait {
 					return nil
 				}
-				it, err := follow(ctx, &g, duties.Conducts, id, func(it duties.Item) { fmt.Fprintln(c.ErrOrStderr(), rollLine(it)) })
+				it, err := followItem(ctx, &g, duties.Conducts, id, func(it duties.Item) { fmt.Fprintln(c.ErrOrStderr(), rollLine(it)) })
 				if err == nil && it.State != duties.Done {
 					err = errors.New(it.Note)
 				}
--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -21,12 +21,14 @@
 	"silverpath/internal/core"
 	"silverpath/internal/duties"
 	"silverpath/internal/fleet"
+	"silverpath/internal/follow"
 	"silverpath/internal/group"
 	"silverpath/internal/harness"
 	"silverpath/internal/lease"
 	"silverpath/internal/owner"
 	"silverpath/internal/quorum"
 	"silverpath/internal/quorum/member"
+	"silverpath/internal/rulebook"
 	"silverpath/internal/settings"
 	"silverpath/internal/standin"
 	"silverpath/internal/standin/faults"
@@ -53,6 +55,10 @@
 	}
 	if by, err := time.ParseDuration(os.Getenv("SILVERPATH_WALL")); err == nil {
 		owner.Wall = func() time.Time { return time.Now().Add(by) }
+		follow.Wall, fleet.Wall = owner.Wall, owner.Wall
+	}
+	if n, err := strconv.Atoi(os.Getenv("SILVERPATH_FORMAT")); err == nil { // a build that reads another format of the routing
+		follow.Formats = map[string]int{rulebook.DocRouting: n}
 	}
 	core.Unfenced = os.Getenv("SILVERPATH_UNFENCED") != ""
 	if os.Getenv("SILVERPATH_STOP_ROUTED") != "" {
@@ -66,7 +72,7 @@
 		}
 	}
 	if rate, err := strconv.ParseFloat(os.Getenv("SILVERPATH_CLOCK"), 64); err == nil {
-		member.Clocks = rate
+		member.Clocks, follow.Rate = rate, rate
 	}
 	if file := os.Getenv("SILVERPATH_DISK"); file != "" {
 		member.Fault = func(string) error {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -323,6 +323,9 @@
 	return silverpath.Class{}, false
 }
 
+// Classes are the classes in force.
+func (c *Core) Classes() []silverpath.Class { return c.set.Load().Classes }
+
 // Longest is the longest time that a client waits, of any class.
 func (c *Core) Longest() (longest time.Duration) {
 	for _, k := range c.set.Load().Classes {
--- a/internal/fleet/agreed.go
+++ b/internal/fleet/agreed.go
@@ -67,6 +67,16 @@
 	a.known = asked
 }
 
+// Skew is by which the map allows the wall clocks of two routers to differ.
+func (a *Agreed) Skew() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.m == nil {
+		return time.Hour // nothing is sent by it yet
+	}
+	return a.m.Skew
+}
+
 // Load returns the group's map, or, until the group was heard, the one that was kept.
 func (a *Agreed) Load(old *cells.Map) (*cells.Map, time.Time, error) { return a.load(old, false) }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -313,7 +313,7 @@
 	if keyed {
 		key = q.Key
 	}
-	route, ok := m.Route(time.Now(), q.Tenant, key)
+	route, ok := m.Route(Wall(), q.Tenant, key)
 	if ok && !r.admit(m, q.Tenant, route) {
 		if keyed { // another router may have handed on a try of it, and only its home can tell
 			return r.failed("over_share")
@@ -354,7 +354,7 @@
 		r.Reload()
 		now := r.cells.Load()
 		ok := false
-		if route, ok = now.Route(time.Now(), q.Tenant, q.Key); !ok || now.Version == m.Version {
+		if route, ok = now.Route(Wall(), q.Tenant, q.Key); !ok || now.Version == m.Version {
 			return a
 		}
 		m = now
@@ -432,7 +432,7 @@
 			return core.Answer{Outcome: core.Served, Body: e.body}
 		case e.outcome == routing.Refused && e.why == core.WhyMoved:
 			// Another router, whose clock is ahead, has asked here before it ran the sheet in its new home.
-			next, ok := m.Route(time.Now().Add(2*m.Skew), q.Tenant, q.Key)
+			next, ok := m.Route(Wall().Add(2*m.Skew), q.Tenant, q.Key)
 			if !ok || next.Home == home {
 				return r.failed("moved_nowhere")
 			}
--- a/internal/fleet/rules.go
+++ b/internal/fleet/rules.go
@@ -17,6 +17,9 @@
 // that was in force then, and was not sent).
 var Boundary = func(at string) {}
 
+// Wall is the clock by which times in maps come, in test programs another one.
+var Wall = time.Now
+
 // identify names a map.
 func identify(m *cells.Map) rulebook.ID { return rulebook.Name(m.Version, settings.FormatCells(m)) }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -35,14 +35,17 @@
 	Docs  map[string]Document
 	Worth func() rulebook.Worth // what the process was asked for and has served; nil: it doesn't say
 	Told  func(asked time.Time) // called with when it asked, each time that the group has answered; nil: nobody
+	Skew  func() time.Duration  // by which the wall clocks of two processes may differ, where times in documents count; nil: they do not
 	Log   *log.Logger
 	Stats *stats.Counters
 }
 
-// Formats has a process take other formats for those that it reads, and Rate has its clock run fast or slow, in test programs only.
+// Formats has a process take other formats for those that it reads, Rate has its clock run fast or slow, and Wall is its wall
+// clock, in test programs only.
 var (
 	Formats map[string]int
 	Rate    = 1.0
+	Wall    = time.Now
 )
 
 const (
@@ -59,6 +62,7 @@
 	// What a sheet's beginning looks at, without the lock: whoever asks holds locks that a check may wait for.
 	until   atomic.Int64 // it is confirmed until then
 	turning atomic.Bool
+	apart   atomic.Bool // its wall clock is further from the group's than documents allow
 
 	mu      sync.Mutex
 	holder  *rulebook.Holder
@@ -81,7 +85,7 @@
 			reads[name] = n
 		}
 	}
-	return &Follower{cfg: cfg, began: time.Now(), holder: rulebook.NewHolder(cfg.Name+"#"+hex.EncodeToString(b[:]), reads)}
+	return &Follower{cfg: cfg, began: time.Now(), said: rulebook.Unconfirmed, holder: rulebook.NewHolder(cfg.Name+"#"+hex.EncodeToString(b[:]), reads)}
 }
 
 func (f *Follower) clock() time.Duration {
@@ -95,6 +99,8 @@
 		return rulebook.Unconfirmed
 	case f.turning.Load():
 		return rulebook.StopsToTurn
+	case f.apart.Load():
+		return rulebook.ClocksApart
 	}
 	return ""
 }
@@ -132,7 +138,7 @@
 func (f *Follower) once(ctx context.Context) bool {
 	f.mu.Lock()
 	s := quorum.Sync{User: f.holder.Says(), Has: f.holder.Has(), Acts: f.holder.Acts(), Stops: f.Stops()}
-	asked, wall := f.clock(), time.Now()
+	asked, wall, sent := f.clock(), Wall(), time.Now()
 	f.mu.Unlock()
 	if f.cfg.Worth != nil {
 		s.Worth = f.cfg.Worth()
@@ -145,6 +151,7 @@
 		f.tell(err)
 		return false
 	}
+	f.notice() // a confirmation that ended while this was asked
 	f.mu.Lock()
 	take := f.holder.Told(asked, a.Index, a.Terms, a.Docs, func(name, text string) error { return f.cfg.Docs[name].Check(text) })
 	f.bound = rulebook.Terms{Lease: a.Terms.TTL, Drift: a.Terms.Drift}.Bound()
@@ -153,7 +160,9 @@
 		f.turning.Store(true)
 	}
 	f.until.Store(int64(f.holder.Until()))
-	f.skew = max(f.skew, time.UnixMilli(a.Wall).Sub(time.Now()), wall.Sub(time.UnixMilli(a.Wall)))
+	// It answered between the asking and now, so the clocks differ by this at least.
+	off := max(0, time.UnixMilli(a.Wall).Sub(Wall()), wall.Sub(time.UnixMilli(a.Wall))-time.Millisecond)
+	f.skew = max(f.skew, off)
 	f.mu.Unlock()
 	f.tell(nil)
 	for _, t := range take {
@@ -166,9 +175,13 @@
 		f.cfg.Stats.Inc("rules", "taken", t.Doc)
 		events.Say(f.cfg.Log, "rules.acts", t.Doc, t.Entry.ID)
 	}
+	if f.cfg.Skew != nil {
+		// Two that are each within half of it of the leader's clock are within it of each other.
+		f.apart.Store(off > f.cfg.Skew()/2)
+	}
 	f.turning.Store(turning) // not before the new is acted on
 	if f.cfg.Told != nil {
-		f.cfg.Told(wall)
+		f.cfg.Told(sent)
 	}
 	return true
 }
@@ -190,7 +203,11 @@
 	case !changed:
 	case why != "":
 		f.cfg.Stats.Inc("rules", "stopped", why)
-		events.Say(f.cfg.Log, "rules.stops", why)
+		ago := time.Duration(0)
+		if why == rulebook.Unconfirmed {
+			ago = now - time.Duration(f.until.Load()) // a process that was stopped sees it late
+		}
+		events.Say(f.cfg.Log, "rules.stops", why, ago)
 	default:
 		events.Say(f.cfg.Log, "rules.goes_on", was, now-since)
 	}
--- /dev/null
+++ b/internal/harness/rules.go
@@ -0,0 +1,107 @@
+package harness
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Acted is a stretch in which a process could begin what is exclusive, by a version of a document, as its log says. From and To
+// are times of day; To is the end of the log where it went on until then.
+type Acted struct {
+	Process, Version string
+	From, To         time.Duration
+}
+
+var (
+	acts   = regexp.MustCompile(`^(\d\d):(\d\d):(\d\d\.\d+) rules: acts on (\w+) (\S+)`)
+	stops  = regexp.MustCompile(`^(\d\d):(\d\d):(\d\d\.\d+) rules: nothing that is exclusive begins: \w+, since (\S+) ago`)
+	goesOn = regexp.MustCompile(`^(\d\d):(\d\d):(\d\d\.\d+) rules: exclusive work goes on`)
+)
+
+// timeOf is the time of day of a line, past midnight a day later where the log began before.
+func timeOf(m []string, began time.Duration) time.Duration {
+	var h, min int
+	var sec float64
+	fmt.Sscan(m[1], &h)
+	fmt.Sscan(m[2], &min)
+	fmt.Sscan(m[3], &sec)
+	at := time.Duration(h)*time.Hour + time.Duration(min)*time.Minute + time.Duration(sec*float64(time.Second))
+	if at < began-time.Hour {
+		at += 24 * time.Hour
+	}
+	return at
+}
+
+// Acts reads from a log when a process could begin what is exclusive, by which version of a document.
+func Acts(name, log, doc string, end time.Duration) (list []Acted) {
+	var now *Acted
+	version, on := "", false
+	began := time.Duration(-1)
+	turn := func(at time.Duration, to string, goes bool) {
+		if now != nil && (to != version || !goes) {
+			now.To = max(now.From, at)
+			list = append(list, *now)
+			now = nil
+		}
+		version, on = to, goes
+		if now == nil && on && version != "" {
+			now = &Acted{Process: name, Version: version, From: at}
+		}
+	}
+	at := func(m []string) time.Duration {
+		t := timeOf(m, began)
+		if began < 0 {
+			began = t
+		}
+		return t
+	}
+	for _, line := range strings.Split(log, "\n") {
+		if m := acts.FindStringSubmatch(line); m != nil && m[4] == doc {
+			turn(at(m), m[5], on)
+		} else if m := stops.FindStringSubmatch(line); m != nil {
+			ago, _ := time.ParseDuration(m[4])
+			turn(at(m)-ago, version, false)
+		} else if m := goesOn.FindStringSubmatch(line); m != nil {
+			turn(at(m), version, true)
+		}
+	}
+	if end < began {
+		end += 24 * time.Hour // past midnight
+	}
+	if now != nil {
+		now.To = end
+		list = append(list, *now)
+	}
+	return list
+}
+
+// Overlap is the longest time in which two processes could begin what is exclusive by different versions, and who they were.
+func Overlap(list []Acted) (longest time.Duration, what string) {
+	for i, a := range list {
+		for _, b := range list[i+1:] {
+			if d := min(a.To, b.To) - max(a.From, b.From); a.Version != b.Version && d > longest {
+				longest, what = d, fmt.Sprintf("%+v and %+v", a, b)
+			}
+		}
+	}
+	return longest, what
+}
+
+// Versions are those that were acted on, in no order, each once.
+func Versions(list []Acted) (all []string) {
+	for _, a := range list {
+		if !slices.Contains(all, a.Version) {
+			all = append(all, a.Version)
+		}
+	}
+	return all
+}
+
+// DayTime is a moment as Acts counts.
+func DayTime(t time.Time) time.Duration {
+	t = t.UTC()
+	return t.Sub(time.Date(t.Year(), t.Month(), t.Day(), 0, 0, 0, 0, time.UTC))
+}
--- a/internal/quorum/member/rules.go
+++ b/internal/quorum/member/rules.go
@@ -120,6 +120,9 @@
 	if c.By == rulebook.Watcher {
 		return "only the group's leader may"
 	}
+	if c.Doc == rulebook.DocMap && (c.Op == rulebook.TakeBack || c.Try != nil) {
+		return "a map is neither watched nor taken back, as its versions follow each other in time: move the tenant again, or abort"
+	}
 	if c.Op != rulebook.Put {
 		return ""
 	}
--- a/internal/rulebook/holder.go
+++ b/internal/rulebook/holder.go
@@ -108,6 +108,7 @@
 // Why nothing that is exclusive begins.
 const (
 	Unconfirmed = "unconfirmed" // it could not be told within the lease what is in force
+	ClocksApart = "clock"       // its wall clock is not within the skew, so times in documents come to it at another moment
 	StopsToTurn = "turning"     // everybody stops the old before anybody begins the new
 )
 
--- a/internal/rulebook/watch.go
+++ b/internal/rulebook/watch.go
@@ -148,11 +148,15 @@
 func (w *Watch) next(b *Book, d *Doc, now time.Duration) (Change, bool) {
 	c := Change{Doc: d.Name, Stage: d.Stage}
 	s := w.staged[d.Name]
+	uses := func(name string) bool { // only those that act on it have anything to say of it
+		u := b.Users[name]
+		return u != nil && u.Reads[d.Name] > 0
+	}
 	if d.Next == nil {
 		if d.Force == nil || d.Force.Try == nil || d.Force.Base == nil || d.Force.Back > 0 || d.Force.Ended != "" || now-s.at > 2*ms(d.Force.Try.For) {
 			return c, false
 		}
-		got := w.sums(s, nil)
+		got := w.sums(s, uses)
 		if bad := worse(*d.Force.Base, got, d.Force.Try.Worse); bad && now-s.at >= ms(d.Force.Try.For)/4 {
 			c.Op, c.Version, c.By = TakeBack, d.Force.ID.Version, Watcher
 			c.Why = fmt.Sprintf("%.0f%% of the worth was served, before it %.0f%%", 100*got.Share(), 100*d.Force.Base.Share())
@@ -172,7 +176,7 @@
 	if d.Stage == Trial {
 		try := d.Next.Try
 		with, rest := w.sums(s, func(name string) bool { return slices.Contains(d.Next.Parts, name) }),
-			w.sums(s, func(name string) bool { return !slices.Contains(d.Next.Parts, name) })
+			w.sums(s, func(name string) bool { return uses(name) && !slices.Contains(d.Next.Parts, name) })
 		if worse(rest, with, try.Worse) && now-s.at >= ms(try.For)/4 {
 			c.Op, c.By = Withdraw, Watcher
 			c.Why = fmt.Sprintf("%.0f%% of the worth was served where it was tried, else %.0f%%", 100*with.Share(), 100*rest.Share())
@@ -183,7 +187,7 @@
 		}
 	}
 	if d.Next.Try != nil {
-		base := w.over(ms(d.Next.Try.For), now)
+		base := w.over(ms(d.Next.Try.For), now, uses)
 		c.Base = &base
 	}
 	return c, true
@@ -203,7 +207,7 @@
 func (w *Watch) sums(s staged, of func(string) bool) (sum Worth) {
 	for name, h := range w.heard {
 		mark, ok := s.marks[name]
-		if !ok || of != nil && !of(name) || h.Worth.Asked < mark.Asked {
+		if !ok || !of(name) || h.Worth.Asked < mark.Asked {
 			continue // it came later
 		}
 		sum.Asked += h.Worth.Asked - mark.Asked
@@ -213,8 +217,11 @@
 }
 
 // over sums what was asked for and served in the latest stretch.
-func (w *Watch) over(d, now time.Duration) (sum Worth) {
-	for _, h := range w.heard {
+func (w *Watch) over(d, now time.Duration, of func(string) bool) (sum Worth) {
+	for name, h := range w.heard {
+		if !of(name) {
+			continue
+		}
 		for _, s := range h.past {
 			if now-s.at <= d {
 				sum.Asked += h.Worth.Asked - s.worth.Asked
--- a/internal/service/rules.go
+++ b/internal/service/rules.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"time"
 
+	"silverpath/internal/core"
 	"silverpath/internal/events"
 	"silverpath/internal/fleet"
 	"silverpath/internal/follow"
+	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/quorum"
 	"silverpath/internal/rulebook"
+	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
 )
 
@@ -21,7 +24,7 @@
 
 // followRules has the process act on documents of a group, where an edge file says so. Own says what it does with those that
 // only its role uses.
-func (s *Service) followRules(own map[string]follow.Document, worth func() rulebook.Worth, told func(time.Time)) error {
+func (s *Service) followRules(own map[string]follow.Document, worth func() rulebook.Worth, told func(time.Time), skew func() time.Duration) error {
 	set := s.cfg.Edge.Rules
 	if set == nil {
 		return nil
@@ -38,7 +41,7 @@
 		docs[name] = d
 	}
 	s.follow = follow.New(follow.Config{
-		Name: s.cfg.Name, Group: &quorum.Client{Group: set.Group.Name, Addrs: set.Group.Members}, Docs: docs, Worth: worth, Told: told,
+		Name: s.cfg.Name, Group: &quorum.Client{Group: set.Group.Name, Addrs: set.Group.Members}, Docs: docs, Worth: worth, Told: told, Skew: skew,
 		Log: s.log, Stats: s.stats,
 	})
 	s.core.Bar(s.follow.Stops)
@@ -99,6 +102,17 @@
 	return nil
 }
 
+// worth is what this server was asked for and has served since its start, by the counters of its fronts.
+func (s *Service) worth() (w rulebook.Worth) {
+	for _, k := range s.core.Classes() {
+		for _, front := range []string{msgpackrpc.Name, scgi.Name} {
+			w.Asked += k.Worth * float64(s.stats.Get("read", front, k.Name))
+			w.Served += k.Worth * float64(s.stats.Get("answered", front, k.Name, core.Served.String()))
+		}
+	}
+	return w
+}
+
 // poolsDocument is what a server does with the document of its pools.
 func (s *Service) poolsDocument() follow.Document {
 	check := func(text string) error {
@@ -156,7 +170,7 @@
 		return w
 	}
 	if !rules.Uses(rulebook.DocMap) {
-		if err := s.followRules(own, worth, nil); err != nil {
+		if err := s.followRules(own, worth, nil, nil); err != nil {
 			return nil, err
 		}
 		src, err := fleet.OpenFile(set.Map, set.State)
@@ -175,7 +189,7 @@
 		if s.fleet != nil {
 			s.fleet.Reload()
 		}
-	})
+	}, src.Skew)
 	if err != nil {
 		return nil, err
 	}
