Routers share a cell by parts with a lease that never sum to more than there is

Each router shared a cell for itself and knew nothing of what the others let in. internal/shares decides: the group's leader divides a cell among tenants by weighted max-min of what routers report, at each server where tenants have shards, and a tenant's part among the routers; a part grows only once others have let go of theirs.

--- a/internal/core/rules.go
+++ b/internal/core/rules.go
@@ -24,6 +24,8 @@
 	defer c.mu.Unlock()
 	c.rules.Agree(terms)
 	c.heard(of, source)
+	c.stats.Set(uint64(c.rules.Terms().Bound().Milliseconds()), "rules", "bound_ms")
+	c.stats.Set(uint64(c.rules.Longest().Milliseconds()), "rules", "longest_ms")
 }
 
 // heard is called under the lock.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/routing"
 	"silverpath/internal/rulebook"
+	"silverpath/internal/shares"
 	"silverpath/internal/stats"
 )
 
@@ -67,6 +68,7 @@
 	mu     sync.Mutex // the table's
 	table  *routing.Table
 	fair   *routing.Fair
+	share  *shares.Holder // nil: it knows nothing of what other routers let in
 	peers  map[string]*peer
 	flying atomic.Int64
 	asked  atomic.Uint64 // worth, in thousandths, of all requests that have been answered
@@ -366,6 +368,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	name, rate := m.Agreed(tenant)
+	if r.share != nil {
+		// By its part of what all routers share in place of what was agreed for all of them.
+		k, now := shares.Key{Cell: route.Cell, Tenant: name}, r.clock()
+		if !r.share.Admit(now, k) {
+			return false
+		}
+		rate = r.share.Part(now, k)
+	}
 	return r.fair.Admit(r.clock(), route.Cell, name, rate, len(route.Servers))
 }
 
--- a/internal/fleet/rules.go
+++ b/internal/fleet/rules.go
@@ -8,9 +8,11 @@
 	"silverpath/internal/cells"
 	"silverpath/internal/core"
 	"silverpath/internal/events"
+	"silverpath/internal/lease"
 	"silverpath/internal/routing"
 	"silverpath/internal/rulebook"
 	"silverpath/internal/settings"
+	"silverpath/internal/shares"
 )
 
 // Boundary is called in test programs only, which stop the process there: routed (a sheet has been found its home, by the map
@@ -31,6 +33,28 @@
 // clockDrift is by which the monotonic clock of a machine may run fast or slow, as a share.
 const clockDrift = 0.05
 
+// Share has this router share its cells with others: it is one of so many, and has a part for good where nobody else can be there
+// under its name. It is called before the first request.
+func (r *Runner) Share(most int, good bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share = shares.NewHolder(most, good)
+	r.share.Set(shares.Of(r.cells.Load().Map, Wall()))
+}
+
+// Says is this router's word to the group, for its part in the cells.
+func (r *Runner) Says() (w shares.Word, told func(shares.Grant, lease.Terms)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	asked := r.clock()
+	return r.share.Says(asked), func(g shares.Grant, t lease.Terms) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.share.Set(shares.Of(r.cells.Load().Map, Wall())) // servers come and go by the time in the map
+		r.share.Told(asked, g, t)
+	}
+}
+
 // introduces are the fields by which this router tells a server what it goes by.
 func (r *Runner) introduces(m *view) []string {
 	ms := func(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fastjson"
 
 	"silverpath/internal/core"
+	"silverpath/internal/shares"
 )
 
 // Status is what a router knows of its fleet, as a JSON object: the map in force, its servers and what was decided.
@@ -56,6 +57,22 @@
 	}
 	o.Set("over_share", a.NewNumberInt(int(r.fair.Refused())))
 	r.mu.Unlock()
+	if r.share != nil {
+		r.mu.Lock()
+		parts := a.NewObject()
+		for _, c := range m.Cells {
+			each := a.NewObject()
+			for _, t := range m.Tenants {
+				if p := r.share.Part(r.clock(), shares.Key{Cell: c.Name, Tenant: t.Name}); p > 0 {
+					each.Set(t.Name, a.NewNumberFloat64(p))
+				}
+			}
+			parts.Set(c.Name, each)
+		}
+		o.Set("parts", parts)
+		o.Set("beyond_part", a.NewNumberInt(int(r.share.Counts().Beyond)))
+		r.mu.Unlock()
+	}
 	o.Set("cells", windows)
 	tenants := a.NewObject()
 	for _, t := range m.Tenants {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -16,8 +16,10 @@
 	"github.com/valyala/fastjson"
 
 	"silverpath/internal/events"
+	"silverpath/internal/lease"
 	"silverpath/internal/quorum"
 	"silverpath/internal/rulebook"
+	"silverpath/internal/shares"
 	"silverpath/internal/stats"
 )
 
@@ -36,10 +38,17 @@
 	Worth func() rulebook.Worth // what the process was asked for and has served; nil: it doesn't say
 	Told  func(asked time.Time) // called with when it asked, each time that the group has answered; nil: nobody
 	Skew  func() time.Duration  // by which the wall clocks of two processes may differ, where times in documents count; nil: they do not
+	Share Sharer                // what it shares with others; nil: nothing
 	Log   *log.Logger
 	Stats *stats.Counters
 }
 
+// Sharer is a process's part in what a fleet shares.
+type Sharer interface {
+	// Says returns its word to the group, and what to call with the answer.
+	Says() (w shares.Word, told func(g shares.Grant, t lease.Terms))
+}
+
 // Formats has a process take other formats for those that it reads, Rate has its clock run fast or slow, and Wall is its wall
 // clock, in test programs only.
 var (
@@ -143,6 +152,12 @@
 	if f.cfg.Worth != nil {
 		s.Worth = f.cfg.Worth()
 	}
+	granted := func(shares.Grant, lease.Terms) {}
+	if f.cfg.Share != nil {
+		var w shares.Word
+		w, granted = f.cfg.Share.Says()
+		s.Share = &w
+	}
 	asking, cancel := context.WithTimeout(ctx, askWithin)
 	a, err := f.cfg.Group.Sync(asking, s)
 	cancel()
@@ -155,6 +170,8 @@
 	f.mu.Lock()
 	take := f.holder.Told(asked, a.Index, a.Terms, a.Docs, func(name, text string) error { return f.cfg.Docs[name].Check(text) })
 	f.bound = rulebook.Terms{Lease: a.Terms.TTL, Drift: a.Terms.Drift}.Bound()
+	f.cfg.Stats.Set(uint64(f.bound.Milliseconds()), "rules", "bound_ms")
+	f.cfg.Stats.Set(uint64(f.longest.Milliseconds()), "rules", "longest_unconfirmed_ms")
 	turning := f.holder.Turning()
 	if turning {
 		f.turning.Store(true)
@@ -165,6 +182,9 @@
 	f.skew = max(f.skew, off)
 	f.mu.Unlock()
 	f.tell(nil)
+	if a.Grant != nil {
+		granted(*a.Grant, a.Terms)
+	}
 	for _, t := range take {
 		err := f.cfg.Docs[t.Doc].Take(t.Entry.Text)
 		if err != nil { // it was checked: something has changed since
--- a/internal/lab/bench_test.go
+++ b/internal/lab/bench_test.go
@@ -21,3 +21,4 @@
 func BenchmarkOperators(b *testing.B) { Operators(b) }
 func BenchmarkTakeover(b *testing.B)  { Takeover(b) }
 func BenchmarkOwner(b *testing.B)     { Owner(b) }
+func BenchmarkRules(b *testing.B)     { Rules(b) }
--- /dev/null
+++ b/internal/lab/rulessim.go
@@ -0,0 +1,155 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"silverpath/internal/lease"
+	"silverpath/internal/rulebook"
+)
+
+// RulesSim is a group as one that never fails, and processes that act on one document, in simulated time: words take some
+// milliseconds, and some of the processes are silent.
+type RulesSim struct {
+	Terms  lease.Terms
+	N      int
+	Silent int // of them, from before the change on
+}
+
+// InForce is how long a change takes, from its putting until all that are not silent act on it, and the longest stretch in which
+// one of them began nothing exclusive.
+func (s RulesSim) InForce(seed uint64, exclusive bool) (took, stopped time.Duration, err error) {
+	type event struct {
+		at time.Duration
+		do func()
+	}
+	var events []event
+	now := time.Duration(0)
+	rng := rand.New(rand.NewPCG(seed, 19))
+	after := func(d time.Duration, do func()) {
+		e := event{now + d, do}
+		i, _ := slices.BinarySearchFunc(events, e, func(a, b event) int { return int(a.at - b.at) })
+		events = slices.Insert(events, i, e)
+	}
+	way := func() time.Duration { return time.Duration(200+rng.IntN(1800)) * time.Microsecond }
+	book, watch, index := rulebook.NewBook(), rulebook.NewWatch(s.Terms), uint64(0)
+	watch.Lead(0)
+	apply := func(c rulebook.Change) error {
+		index++
+		_, err := book.Apply(c)
+		return err
+	}
+	if err := apply(rulebook.Change{Op: rulebook.Put, Doc: "d", Text: "old"}); err != nil {
+		return 0, 0, err
+	}
+	acts := make([]uint64, s.N)
+	stops := make([]time.Duration, s.N)
+	silent := make([]bool, s.N)
+	want, put, done, left := rulebook.Name(1, []byte("new")).Digest, time.Duration(0), time.Duration(0), 0
+	for i := range s.N {
+		h := rulebook.NewHolder(fmt.Sprint("p", i), map[string]int{"d": 1})
+		var step func()
+		step = func() {
+			if silent[i] {
+				return
+			}
+			asked := now
+			said := h.Says()
+			after(way(), func() { // at the leader
+				if !watch.Heard(h.Who, now, h.Acts(), rulebook.Worth{}, "") {
+					after(way(), step)
+					return
+				}
+				if book.New(said) {
+					op := rulebook.Say
+					if book.Users[h.Who] == nil {
+						op = rulebook.Join
+					}
+					apply(rulebook.Change{Op: op, User: &said})
+				}
+				d, at := book.Docs["d"], index
+				v := rulebook.View{Force: d.Force, Next: d.Next, Stage: d.Stage}
+				after(way(), func() { // and back
+					for _, t := range h.Told(asked, at, s.Terms, map[string]rulebook.View{"d": v}, func(string, string) error { return nil }) {
+						acts[i] = t.Entry.ID.Digest
+						if acts[i] == want {
+							if left--; left == 0 && !silent[i] {
+								done = now
+							}
+						}
+					}
+					if h.Turning() && stops[i] == 0 {
+						stops[i] = now
+					} else if !h.Turning() && stops[i] > 0 {
+						stopped = max(stopped, now-stops[i])
+						stops[i] = 0
+					}
+					after(max(10*time.Millisecond, h.Every()), step)
+				})
+			})
+		}
+		after(time.Duration(rng.Int64N(int64(s.Terms.TTL/3))), step)
+	}
+	var look func()
+	look = func() {
+		for _, c := range watch.Due(book, now) {
+			apply(c)
+			if c.Op == rulebook.Lapse {
+				watch.Lapsed(c.By)
+			}
+		}
+		after(20*time.Millisecond, look)
+	}
+	look()
+	after(5*s.Terms.TTL, func() {
+		for i := range s.Silent {
+			silent[i] = true
+		}
+		put, left = now, s.N-s.Silent
+		if e := apply(rulebook.Change{Op: rulebook.Put, Doc: "d", Version: 1, Text: "new", Exclusive: exclusive}); e != nil {
+			err = e
+		}
+	})
+	for len(events) > 0 && done == 0 && now < 60*time.Second && err == nil {
+		e := events[0]
+		events = events[1:]
+		now = e.at
+		e.do()
+	}
+	if done == 0 && err == nil {
+		err = fmt.Errorf("%+v, seed %d: not in force everywhere within a minute", s, seed)
+	}
+	return done - put, stopped, err
+}
+
+// rulesTime measures how long a change takes to come into force everywhere.
+func rulesTime(b *testing.B) {
+	fmt.Println("\n| processes | silent | change | p50 | longest | sheets stopped for, longest |")
+	fmt.Println("|---|---|---|---|---|---|")
+	for _, n := range []int{12, 100, 300} {
+		for _, silent := range []int{0, 1, n / 10} {
+			for _, exclusive := range []bool{false, true} {
+				var all []time.Duration
+				longest := time.Duration(0)
+				for seed := range uint64(20) {
+					took, stopped, err := RulesSim{rulesTerms, n, silent}.InForce(seed, exclusive)
+					if err != nil {
+						b.Error(err)
+						continue
+					}
+					all, longest = append(all, took), max(longest, stopped)
+				}
+				if len(all) == 0 {
+					continue
+				}
+				slices.Sort(all)
+				kind := map[bool]string{false: "free", true: "exclusive"}[exclusive]
+				fmt.Printf("| %d | %d | %s | %v | %v | %v |\n", n, silent, kind, all[len(all)/2].Round(time.Millisecond), all[len(all)-1].Round(time.Millisecond),
+					longest.Round(time.Millisecond))
+			}
+		}
+	}
+}
--- a/internal/quorum/member/member.go
+++ b/internal/quorum/member/member.go
@@ -28,6 +28,7 @@
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/quorum"
 	"silverpath/internal/rulebook"
+	"silverpath/internal/shares"
 	"silverpath/internal/stats"
 )
 
@@ -74,6 +75,9 @@
 	snapAt    uint64
 	watch     *lease.Watch
 	users     *rulebook.Watch
+	ledger    *shares.Ledger
+	wholes    int // the version of the map that the ledger knows
+	wholesAt  time.Time
 	marks     map[uint64]mark
 	marksNew  bool
 	said      mark
@@ -142,7 +146,7 @@
 	m := &Member{
 		cfg: cfg, log: cfg.Log.With().Str("process", cfg.Name).Logger(), stats: cfg.Stats, began: time.Now(),
 		calls: make(chan func(), 256), ended: make(chan struct{}), disk: disk, marks: marks, watch: lease.NewWatch(lease.Terms{}),
-		users:   rulebook.NewWatch(lease.Terms{}),
+		users: rulebook.NewWatch(lease.Terms{}), ledger: shares.NewLedger(lease.Terms{}),
 		vouched: map[uint64]bool{}, peers: map[uint64]*peer{}, waiting: map[uint64]func(group.Result, bool){},
 		reads: map[string]read{}, salt: binary.BigEndian.Uint64(salt[:]), state: group.New(0), conf: &pb.ConfState{},
 	}
@@ -187,7 +191,7 @@
 	} else if m.state, err = group.Restore(snap.GetData()); err != nil {
 		return fmt.Errorf("%s: %w", m.cfg.Dir, err)
 	}
-	m.watch, m.users = lease.NewWatch(m.state.Terms), rulebook.NewWatch(m.state.Terms)
+	m.watch, m.users, m.ledger = lease.NewWatch(m.state.Terms), rulebook.NewWatch(m.state.Terms), shares.NewLedger(m.state.Terms)
 	m.conf = snap.GetMetadata().GetConfState()
 	m.applied = snap.GetMetadata().GetIndex()
 	m.snapAt = m.applied
@@ -306,7 +310,7 @@
 		m.state, m.conf = state, rd.Snapshot.GetMetadata().GetConfState()
 		m.applied = rd.Snapshot.GetMetadata().GetIndex()
 		m.snapAt = m.applied
-		m.watch, m.users = lease.NewWatch(state.Terms), rulebook.NewWatch(state.Terms)
+		m.watch, m.users, m.ledger = lease.NewWatch(state.Terms), rulebook.NewWatch(state.Terms), shares.NewLedger(state.Terms)
 		m.meet()
 	}
 	if rd.SoftState != nil {
@@ -355,12 +359,14 @@
 	if leads {
 		m.watch.Lead(m.clock())
 		m.users.Lead(m.clock())
+		m.ledger.Lead(m.clock(), m.raw.BasicStatus().GetTerm())
 		m.log.Info().Str("event", "group.leads").Uint64("term", m.raw.BasicStatus().GetTerm()).Send()
 		m.stats.Inc("group", "led")
 		return
 	}
 	m.watch.Follow()
 	m.users.Follow()
+	m.ledger.Follow()
 	m.log.Info().Str("event", "group.follows").Send()
 	m.fail()
 }
--- a/internal/quorum/member/rules.go
+++ b/internal/quorum/member/rules.go
@@ -9,6 +9,8 @@
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/quorum"
 	"silverpath/internal/rulebook"
+	"silverpath/internal/settings"
+	"silverpath/internal/shares"
 )
 
 // This file is a member's part in the rules: words of the processes that act on documents, and the leader's time over them.
@@ -29,13 +31,14 @@
 		answer(msgpackrpc.Verdict{Error: quorum.WordLost}) // its end is on its way: then it registers anew
 		return
 	}
+	grant := m.grant(s)
 	tell := func(ok bool) {
 		u := m.state.Rules.Users[s.User.Name]
 		if !ok || u == nil {
 			answer(msgpackrpc.Verdict{Error: quorum.WordLost})
 			return
 		}
-		b, err := json.Marshal(quorum.Synced{Terms: m.state.Terms, Index: m.applied, Wall: time.Now().UnixMilli(), Docs: views(m.state.Rules, u, s.Has)})
+		b, err := json.Marshal(quorum.Synced{Terms: m.state.Terms, Index: m.applied, Wall: time.Now().UnixMilli(), Docs: views(m.state.Rules, u, s.Has), Grant: grant})
 		if err != nil {
 			answer(no(quorum.WordNo, "%v", err))
 			return
@@ -63,6 +66,29 @@
 	}
 }
 
+// grant is what a router is given of the cells that it shares with others. It counts as given from here on, whether or not the answer
+// ever comes there.
+func (m *Member) grant(s quorum.Sync) *shares.Grant {
+	d := m.state.Rules.Docs[rulebook.DocMap]
+	if s.Share == nil || d == nil || d.Force == nil {
+		return nil
+	}
+	if d.Force.ID.Version != m.wholes || time.Since(m.wholesAt) > time.Second { // servers come and go by the time in the map
+		of, err := settings.ParseCells([]byte(d.Force.Text))
+		if err != nil {
+			return nil
+		}
+		m.wholes, m.wholesAt = d.Force.ID.Version, time.Now()
+		m.ledger.Set(shares.Of(of, m.wholesAt))
+	}
+	g, ok := m.ledger.Hear(m.clock(), s.User.Name, *s.Share)
+	if !ok {
+		m.stats.Inc("rules", "no_share")
+		return nil
+	}
+	return &g
+}
+
 // views are the documents as a process is told of them.
 func views(b *rulebook.Book, u *rulebook.User, has map[string][]int) map[string]rulebook.View {
 	brief := func(e *rulebook.Entry, has []int) *rulebook.Entry {
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -14,6 +14,7 @@
 	"silverpath/internal/group"
 	"silverpath/internal/lease"
 	"silverpath/internal/rulebook"
+	"silverpath/internal/shares"
 )
 
 // WordWithin is how long an answer to a word is waited for.
@@ -87,6 +88,7 @@
 	Acts  map[string]int   `json:"acts"`
 	Worth rulebook.Worth   `json:"worth"`
 	Stops string           `json:"stops,omitempty"`
+	Share *shares.Word     `json:"share,omitempty"` // of a router that shares cells with others; nil: it does not
 }
 
 // Synced is what it is told.
@@ -95,6 +97,7 @@
 	Index uint64                   `json:"index"` // of the log, up to which this is told
 	Wall  int64                    `json:"wall"`  // the leader's clock as it answered, in Unix milliseconds
 	Docs  map[string]rulebook.View `json:"docs"`
+	Grant *shares.Grant            `json:"grant,omitempty"`
 }
 
 // Rules is what can be read of the documents: the book, and what the group's leader has heard of those that use it.
--- a/internal/service/router.go
+++ b/internal/service/router.go
@@ -20,6 +20,9 @@
 	if err != nil {
 		return fmt.Errorf("fleet.map: %w", err)
 	}
+	if most := s.cfg.Edge.Rules; most != nil && most.Most > 0 {
+		s.fleet.Share(most.Most, set.State != "") // whose lock one process has
+	}
 	s.core.Tells("fleet", s.fleet.Status)
 	s.keep = append(s.keep, s.fleet.Keep)
 	return s.core.Attach(s.fleet, nil)
--- a/internal/service/rules.go
+++ b/internal/service/rules.go
@@ -10,11 +10,13 @@
 	"silverpath/internal/events"
 	"silverpath/internal/fleet"
 	"silverpath/internal/follow"
+	"silverpath/internal/lease"
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/quorum"
 	"silverpath/internal/rulebook"
 	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
+	"silverpath/internal/shares"
 )
 
 const (
@@ -24,7 +26,7 @@
 
 // followRules has the process act on documents of a group, where an edge file says so. Own says what it does with those that
 // only its role uses.
-func (s *Service) followRules(own map[string]follow.Document, worth func() rulebook.Worth, told func(time.Time), skew func() time.Duration) error {
+func (s *Service) followRules(own map[string]follow.Document, worth func() rulebook.Worth, told func(time.Time), skew func() time.Duration, share follow.Sharer) error {
 	set := s.cfg.Edge.Rules
 	if set == nil {
 		return nil
@@ -41,7 +43,7 @@
 		docs[name] = d
 	}
 	s.follow = follow.New(follow.Config{
-		Name: s.cfg.Name, Group: &quorum.Client{Group: set.Group.Name, Addrs: set.Group.Members}, Docs: docs, Worth: worth, Told: told, Skew: skew,
+		Name: s.cfg.Name, Group: &quorum.Client{Group: set.Group.Name, Addrs: set.Group.Members}, Docs: docs, Worth: worth, Told: told, Skew: skew, Share: share,
 		Log: s.log, Stats: s.stats,
 	})
 	s.core.Bar(s.follow.Stops)
@@ -170,7 +172,7 @@
 		return w
 	}
 	if !rules.Uses(rulebook.DocMap) {
-		if err := s.followRules(own, worth, nil, nil); err != nil {
+		if err := s.followRules(own, worth, nil, nil, nil); err != nil {
 			return nil, err
 		}
 		src, err := fleet.OpenFile(set.Map, set.State)
@@ -189,7 +191,7 @@
 		if s.fleet != nil {
 			s.fleet.Reload()
 		}
-	}, src.Skew)
+	}, src.Skew, sharer(s, rules.Most))
 	if err != nil {
 		return nil, err
 	}
@@ -202,3 +204,20 @@
 	s.follow.First(ctx)
 	return src, nil
 }
+
+// sharing is a router that shares its cells with others, once it is there.
+type sharing struct{ s *Service }
+
+func sharer(s *Service, most int) follow.Sharer {
+	if most == 0 {
+		return nil
+	}
+	return sharing{s}
+}
+
+func (p sharing) Says() (shares.Word, func(shares.Grant, lease.Terms)) {
+	if p.s.fleet == nil {
+		return shares.Word{}, func(shares.Grant, lease.Terms) {}
+	}
+	return p.s.fleet.Says()
+}
--- a/internal/service/server.go
+++ b/internal/service/server.go
@@ -31,7 +31,7 @@
 	if err := s.takeOrders(); err != nil {
 		return err
 	}
-	if err := s.followRules(map[string]follow.Document{rulebook.DocPools: s.poolsDocument()}, s.worth, nil, nil); err != nil {
+	if err := s.followRules(map[string]follow.Document{rulebook.DocPools: s.poolsDocument()}, s.worth, nil, nil, nil); err != nil {
 		return err
 	}
 	cfg := s.cfg
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -18,6 +18,7 @@
 type Rules struct {
 	Group GroupRef
 	Docs  []string
+	Most  int // routers that there can be, which share the cells; 0: it knows nothing of what others let in
 }
 
 // Uses reports whether the process acts on a document of the group.
@@ -27,8 +28,11 @@
 	if f.v == nil {
 		return nil
 	}
-	f.only("group", "members", "documents")
-	set := &Rules{Group: f.group(), Docs: f.texts("documents")}
+	f.only("group", "members", "documents", "most_routers")
+	set := &Rules{Group: f.group(), Docs: f.texts("documents"), Most: int(f.integer("most_routers"))}
+	if set.Most < 0 || set.Most > 0 && !set.Uses(rulebook.DocMap) {
+		f.fail("most_routers", "negative, or there is no map among the documents")
+	}
 	for i, doc := range set.Docs {
 		if !slices.Contains(rulebook.Docs, doc) {
 			f.fail(fmt.Sprintf("documents[%d]", i), "no such document: %q", doc)
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -34,6 +34,17 @@
 	c.n[key] += n
 }
 
+// Set sets the counter: of what is measured and not counted.
+func (c *Counters) Set(n uint64, parts ...string) {
+	key := name(parts)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.n == nil {
+		c.n = map[string]uint64{}
+	}
+	c.n[key] = n
+}
+
 // Inc adds 1.
 func (c *Counters) Inc(parts ...string) { c.Add(1, parts...) }
 
