State of last week, half files and forgotten files by processes; files alone against the baseline

TestStateFromLastWeek: a router that missed two moves takes the newest map up as it starts; half a file, the same version with another rate and an older version change nothing.

--- a/cmd/silverpath/rules_test.go
+++ b/cmd/silverpath/rules_test.go
@@ -241,3 +241,60 @@
 		t.Errorf("the sheet in hand ran %d times in its old cell, of %d in all", runs, f.ran()["held"])
 	}
 }
+
+// Files that are half written, of the same version and another content, or older than what is in force, change nothing; a router that
+// was away past a move takes it up as it starts, by the state that it had; and two can't run on one state.
+func TestStateFromLastWeek(t *testing.T) {
+	f := newFleet(t, 400*time.Millisecond)
+	f.Map.Lease, f.Map.Skew, f.Map.Patient = 400*time.Millisecond, 50*time.Millisecond, 800*time.Millisecond
+	file, states := f.write(f.Map), t.TempDir()
+	away, here := f.route("away", file, filepath.Join(states, "away.db")), f.route("here", file, filepath.Join(states, "here.db"))
+	if got := toAll(10, "before", away, here); got["served"] != 20 {
+		t.Fatalf("before: %v", got)
+	}
+	away.Kill()
+	move := func(to string) {
+		t.Helper()
+		if code, out, message := run(t, "", "cells", "--map", file, "move", "--tenant", "brand", "--to", to); code != 0 {
+			t.Fatal(out, message)
+		}
+		time.Sleep(3200 * time.Millisecond) // until it is over
+	}
+	move("b")
+	old := textOf(t, file)
+	move("a")
+	newest := textOf(t, file)
+	for name, text := range map[string]string{"not JSON": newest[:len(newest)/2], "version: 2 is not above that in force, 3": old,
+		"version: 3 is not above that in force, 3": strings.Replace(newest, `"rate": 10`, `"rate": 11`, 1)} {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		from := here.Lines()
+		here.Signal(syscall.SIGHUP)
+		if _, err := here.Await(3*time.Second, from, "reload: done"); err != nil {
+			t.Error(err)
+		}
+		if !strings.Contains(here.Log(), "cells: the old map holds, version 3") {
+			t.Errorf("%s: nothing is said", name)
+		}
+		if got := toAll(3, name, here); got["served"] != 3 {
+			t.Errorf("%s: %v", name, got)
+		}
+		if err := os.WriteFile(file, []byte(newest), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		here.Signal(syscall.SIGHUP)
+	}
+	away = f.route("away", file, filepath.Join(states, "away.db"))
+	if got := toAll(10, "after", away, here); got["served"] != 20 || twice(f.ran()) != 0 {
+		t.Errorf("started anew: %v, %d ran twice\n%s", got, twice(f.ran()), away.Log())
+	}
+	if f.machines["s1"].Runs()["after-1"]+f.machines["s2"].Runs()["after-1"] != 1 {
+		t.Error("it goes by the map of last week")
+	}
+	second := begin(t, []string{"route", "--config", siteFile(t, "away", ""), "--edge", write(t, "route.json", fmt.Sprintf(
+		`{"fleet":{"map":%q,"state":%q}}`, file, filepath.Join(states, "away.db")))})
+	if err := second.Wait(); err == nil || !strings.Contains(second.Log(), "fleet.state") {
+		t.Errorf("two on one state: %v, %s", err, second.Log())
+	}
+}
--- a/internal/lab/rules.go
+++ b/internal/lab/rules.go
@@ -18,6 +18,7 @@
 	"silverpath/internal/fleet"
 	"silverpath/internal/harness"
 	"silverpath/internal/lease"
+	"silverpath/internal/rulebook"
 	"silverpath/internal/standin/faults"
 )
 
@@ -28,6 +29,7 @@
 		b.Fatal(err)
 	}
 	b.Run("simulated", func(b *testing.B) { rulesTime(b) })
+	b.Run("files", func(b *testing.B) { rulesFiles(b, bin) })
 	b.Run("flood", func(b *testing.B) { sharedFlood(b, bin) })
 	b.Run("shift", func(b *testing.B) { sharedShift(b, bin) })
 	b.Run("cost", func(b *testing.B) { rulesCost(b, bin) })
@@ -641,3 +643,97 @@
 		b.Errorf("%d broken", len(sum.broken))
 	}
 }
+
+// rulesFiles has two routers act on maps that contradict each other, by files alone: two of one version, and one that was forgotten as
+// a tenant moved. It is measured how long both begin sheets of the tenant in different cells, and how many run twice.
+func rulesFiles(b *testing.B, bin string) {
+	fmt.Println("\n| program | case | both began sheets for | bound | sheets sent to both | ran twice | said so |")
+	fmt.Println("|---|---|---|---|---|---|---|")
+	for _, way := range []string{"as it was", "files alone"} {
+		program := bin
+		if way == "as it was" {
+			if program = os.Getenv("SILVERPATH_BASELINE"); program == "" {
+				continue
+			}
+		}
+		for _, forgotten := range []bool{false, true} {
+			var both, bound time.Duration
+			sent, twice, said := 0, 0, 0
+			const rounds = 3
+			for round := range rounds {
+				f, err := NewFleet(program, b.TempDir(), 4, 0, []string{"a", "b"}, []cells.Tenant{{Name: "t0", Rate: 50, Homes: []cells.Home{{Cell: "a"}}}})
+				if err != nil {
+					b.Fatal(err)
+				}
+				f.Map.Lease, f.Map.Skew, f.Map.Window, f.Map.Patient = 900*time.Millisecond, 100*time.Millisecond, 500*time.Millisecond, time.Second
+				other := *f.Map
+				if !forgotten {
+					other.Tenants = []cells.Tenant{{Name: "t0", Rate: 50, Homes: []cells.Home{{Cell: "b"}}}}
+				}
+				for i, m := range []*cells.Map{f.Map, &other} {
+					file := filepath.Join(f.sub(fmt.Sprint("m", i)), "cells.json")
+					if err := fleet.Write(file, m); err != nil {
+						b.Fatal(err)
+					}
+					p, err := Route(program, f.sub(fmt.Sprint("r", i)), f.routerSite(), fmt.Sprintf(`{"fleet":{"map":%q,"probe_ms":200}}`, file))
+					if err != nil {
+						b.Fatal(err)
+					}
+					f.Routers = append(f.Routers, p)
+				}
+				began := time.Now()
+				if forgotten { // from when the move holds, and the old home is asked no more
+					p, err := f.Map.PlanMove(time.Now(), "t0", "b", 0)
+					if err == nil {
+						err = fleet.Write(filepath.Join(f.sub("m1"), "cells.json"), p.Next)
+					}
+					if err != nil {
+						b.Fatal(err)
+					}
+					began = p.At
+				}
+				var last [2]time.Time
+				var mu sync.Mutex
+				var wg sync.WaitGroup
+				for n, end := 0, time.Now().Add(6*time.Second); time.Now().Before(end); n++ {
+					key := fmt.Sprintf("oddaja-%d-%d", round, n)
+					wg.Go(func() {
+						for i, p := range f.Routers {
+							at := time.Now()
+							a, err := ask.Once(ask.Platform, p.Platform, ask.Request{Class: "oddaja", Tenant: "t0", Key: key, Body: []byte(key), Wait: time.Second, HeldKB: 8})
+							if err == nil && a.Outcome == "served" {
+								mu.Lock()
+								if at.After(last[i]) {
+									last[i] = at
+								}
+								mu.Unlock()
+							}
+						}
+					})
+					sent++
+					time.Sleep(25 * time.Millisecond)
+				}
+				wg.Wait()
+				for _, p := range f.Routers {
+					if strings.Contains(p.Log(), "rules: version") || strings.Contains(p.Log(), "is newer than") {
+						said++
+					}
+				}
+				if d := last[0].Sub(began); last[0].Before(last[1]) {
+					both = max(both, d)
+				} else {
+					both = max(both, min(d, last[1].Sub(began)))
+				}
+				n, _ := f.Twice()
+				twice += n
+				bound = rulebook.Terms{Lease: f.Map.Lease, Skew: f.Map.Skew, Drift: 0.05, Probe: 200 * time.Millisecond, Wait: time.Second}.Bound()
+				f.Stop()
+			}
+			if both < 0 {
+				both = 0
+			}
+			fmt.Printf("| %s | %s | %v | %v | %d | %d | %d of %d routers |\n", way, map[bool]string{false: "two of one version", true: "a forgotten file"}[forgotten],
+				both.Round(time.Millisecond), bound.Round(time.Millisecond), sent, twice, said, 2*rounds)
+		}
+	}
+}
