--- a/cmd/silverpath/overlap_test.go
+++ b/cmd/silverpath/overlap_test.go
@@ -104,6 +104,7 @@
 // as everybody stops; then it is stopped (SIGSTOP) in the same places. The change waits for it for no more than a lease, it begins
 // nothing meanwhile, and acts on the new once it is back. Without the lease, or the stop, two versions overlap.
 func TestCutOffInAChange(t *testing.T) {
+	t.Parallel()
 	f := newRuledFleet(t, sheetWindow)
 	f.put("classes", twoClasses(t, 0))
 	addrs, ways := f.ways()
@@ -188,6 +189,7 @@
 
 // The overlap that the tests look for is found where a process goes on though nobody confirms it: its clock stands all but still.
 func TestOverlapIsFound(t *testing.T) {
+	t.Parallel()
 	f := newRuledFleet(t, sheetWindow)
 	f.put("classes", twoClasses(t, 0))
 	addrs, ways := f.ways()
@@ -210,6 +212,7 @@
 // The group's leader is killed in the middle of a change, again and again; then the whole group is away for longer than a lease:
 // no sheet begins, reads and what is known go on, and with the group comes the version that was proposed as it went.
 func TestGroupGoesInAChange(t *testing.T) {
+	t.Parallel()
 	f := newRuledFleet(t, sheetWindow)
 	f.put("classes", twoClasses(t, 0))
 	one, two := f.router3("r1", nil), f.router3("r2", nil)
@@ -253,6 +256,7 @@
 // A withdrawal that crosses the moment of coming into force: one of them is first, and all act on the same afterwards. Then a
 // hundred changes as fast as they go.
 func TestCrossing(t *testing.T) {
+	t.Parallel()
 	f := newRuledFleet(t, sheetWindow)
 	f.put("classes", twoClasses(t, 0))
 	one := f.router3("r1", nil)
@@ -315,6 +319,7 @@
 // A change that makes every process worse is taken back by itself, and put again at once it is told no; one that is tried by a part
 // is withdrawn there. Two builds side by side: the older one is not handed what it can't read.
 func TestTakenBack(t *testing.T) {
+	t.Parallel()
 	f := &ruledFleet{g: newGroup(t, 3)}
 	const limits = `"pools":[{"name":"sheets","classes":["oddaja"],"weight":1,"floor":0.1}],"limit":{"fixed":%d}`
 	f.testFleet = newFleetWith(t, sheetWindow, fmt.Sprintf(`{"cell":true,`+limits+`,%s}`, 8, f.rulesPart(nil, "classes", "pools")))
@@ -393,6 +398,7 @@
 // A router whose wall clock is apart from the group's within the skew serves as ever; beyond it that is found and said, and it
 // sends no sheets. A tenant moves while its rate changes and a router joins.
 func TestClocksApart(t *testing.T) {
+	t.Parallel()
 	f := newRuledFleet(t, 500*time.Millisecond)
 	near, far := f.router("near", nil, "SILVERPATH_WALL=60ms"), f.router("far", nil, "SILVERPATH_WALL=250ms")
 	if _, err := far.Await(3*time.Second, 0, "rules: nothing that is exclusive begins: clock"); err != nil {
@@ -460,6 +466,7 @@
 // Parts of a cell: a router that is cut off, stopped, or killed and started anew keeps its part for a lease and no longer, and what
 // others are lent meanwhile never sums with it to more than there is. With a clock that all but stands still it does, and is found.
 func TestPartsOfACell(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		clock string
--- a/cmd/silverpath/rulebook_test.go
+++ b/cmd/silverpath/rulebook_test.go
@@ -72,6 +72,7 @@
 
 // What operators do with documents, and what they are told.
 func TestRules(t *testing.T) {
+	t.Parallel()
 	f := newRuledFleet(t, sheetWindow)
 	one, two := f.router("r1", nil), f.router("r2", nil)
 	if got := toAll(10, "first", one, two); got["served"] != 20 || twice(f.ran()) != 0 {
--- a/cmd/silverpath/rules_test.go
+++ b/cmd/silverpath/rules_test.go
@@ -78,6 +78,7 @@
 // Two maps of one version differ in where a tenant lives. Whoever first sees both names both, and no sheet begins by either;
 // the next version ends it, once what either began can't come again. Without the fence sheets run in both cells.
 func TestTwoMapsOfOneVersion(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		env  []string
@@ -150,6 +151,7 @@
 // tell it of a newer one, and after a lease no sheet begins by the old map, also not by a router that is started anew with it.
 // Without the fence sheets run in both cells, once nobody asks the old home any more.
 func TestForgottenFile(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		env  []string
@@ -215,6 +217,7 @@
 // A router is stopped with a sheet in hand that it has found its home for, and wakes when the tenant has long lived elsewhere:
 // its old home lets nothing begin by the old map. The router then reads the map and asks where the sheet belongs now.
 func TestWokenRouter(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 500*time.Millisecond)
 	file := f.write(f.Map)
 	woken, other := f.route("woken", file, "", "SILVERPATH_STOP_ROUTED=1"), f.route("other", file, filepath.Join(t.TempDir(), "other.db"))
@@ -245,6 +248,7 @@
 // Files that are half written, of the same version and another content, or older than what is in force, change nothing; a router that
 // was away past a move takes it up as it starts, by the state that it had; and two can't run on one state.
 func TestStateFromLastWeek(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 400*time.Millisecond)
 	f.Map.Lease, f.Map.Skew, f.Map.Patient = 400*time.Millisecond, 50*time.Millisecond, 800*time.Millisecond
 	file, states := f.write(f.Map), t.TempDir()
