--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -379,6 +379,12 @@
 	return r.fair.Admit(r.clock(), route.Cell, name, rate, len(route.Servers))
 }
 
+// agreed is a tenant's name as the map has it, which bounds how many there are.
+func (r *Runner) agreed(tenant string) string {
+	name, _ := r.cells.Load().Agreed(tenant)
+	return name
+}
+
 // done ends what admit let in. A failure says nothing of the cell's room.
 func (r *Runner) done(m *view, tenant string, route cells.Route, a core.Answer) {
 	o := routing.Failed
@@ -415,7 +421,7 @@
 // may have run it, so then it fails. What is answered there is the answer; what no former home knows, the home runs.
 func (r *Runner) sheet(q core.Request, m *view, route cells.Route) core.Answer {
 	for _, former := range route.Ask {
-		if r.home(former) == routing.Lost {
+		if r.home(q.Tenant, former) == routing.Lost {
 			return r.failed("former_home_lost")
 		}
 		switch e := r.try(q, former, true, q.Due); {
@@ -431,7 +437,7 @@
 	}
 	home := route.Home
 	for range 2 {
-		switch r.home(home) {
+		switch r.home(q.Tenant, home) {
 		case routing.Lost:
 			return r.failed("home_lost")
 		case routing.Waiting:
@@ -461,10 +467,10 @@
 	return r.failed("moved_twice")
 }
 
-func (r *Runner) home(name string) routing.Home {
+func (r *Runner) home(tenant, name string) routing.Home {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.Home(r.clock(), name)
+	return r.table.Home(r.clock(), r.agreed(tenant), name)
 }
 
 // tries brings a request that has no home to a server. A safe one that fails is tried elsewhere, and gets a second copy where
@@ -475,7 +481,7 @@
 	r.mu.Unlock()
 	last, worst := "", core.Answer{Outcome: core.Refused, Wait: r.events.Advice()}
 	for range mostHops {
-		name, ok := r.pick(route.Servers, last)
+		name, ok := r.pick(q.Tenant, route.Servers, last)
 		if !ok {
 			if last == "" {
 				r.stats.Inc("fleet", "refused", "nobody")
@@ -503,10 +509,10 @@
 	return worst
 }
 
-func (r *Runner) pick(among []string, not string) (string, bool) {
+func (r *Runner) pick(tenant string, among []string, not string) (string, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.Pick(r.clock(), among, not)
+	return r.table.Pick(r.clock(), r.agreed(tenant), among, not)
 }
 
 // hedged makes a try, and a second copy of it elsewhere where it is a read that takes long and the budget has one left.
@@ -532,7 +538,7 @@
 				return e
 			}
 		case <-hedge.C:
-			other, ok := r.pick(route.Servers, name)
+			other, ok := r.pick(q.Tenant, route.Servers, name)
 			if !ok {
 				continue
 			}
@@ -593,7 +599,7 @@
 		if e.outcome != routing.Refused || e.why != "" {
 			away = 0
 		}
-		r.table.Told(now, name, credit, away)
+		r.table.Told(now, r.agreed(q.Tenant), name, credit, away)
 	}
 	if errors.Is(ctx.Err(), context.Canceled) && e.outcome == routing.TimedOut {
 		r.table.Ended(now, name, routing.Refused, 0, false) // given up for another copy's answer: says nothing of it
--- a/internal/routing/fair.go
+++ b/internal/routing/fair.go
@@ -24,6 +24,7 @@
 type part struct {
 	rate   float64
 	flying int
+	usual  float64       // of flying, as its requests find it
 	seen   time.Duration // the latest request
 }
 
@@ -34,6 +35,8 @@
 	shrinkEvery = 100 * time.Millisecond
 	activeFor   = time.Second // a tenant that has sent nothing for so long wants nothing
 	overrun     = 1.25        // of the window: as far as those within their parts may go beyond it
+	chance      = 2.0         // standard deviations of what a tenant has out there
+	usualNew    = 0.05        // weight of a request in what is usual for its tenant
 )
 
 // NewFair returns a table without cells.
@@ -64,9 +67,15 @@
 	}
 	mine := w.limit * p.rate / total
 	room := float64(w.flying) < w.limit
-	if float64(p.flying) < mine {
+	p.usual += (float64(p.flying) - p.usual) * usualNew
+	switch {
+	case float64(p.flying) < mine:
 		room = float64(w.flying) < w.limit*overrun
-	} else {
+	case p.usual < mine && float64(p.flying) < mine+chance*math.Sqrt(mine)+1:
+		// It has less out there than its part as a rule, and chance has brought it more just now: of a part of four, one request in
+		// six comes upon four. What floods has more than its part all the time.
+		room = float64(w.flying) < w.limit*overrun+chance*math.Sqrt(w.limit)
+	default:
 		kept := 0.0
 		for _, q := range w.tenants {
 			if q != p {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -98,6 +99,7 @@
 	budgetSpan    = 10.0 // seconds' worth of first tries that a budget keeps at most
 	budgetLeast   = 2.0  // further tries that are there at the start
 	hedgeQuantile = 0.95
+	mostAway      = 256 // tenants that are kept away from a server
 	samples       = 256 // latencies of reads, of which the quantile is taken
 )
 
@@ -132,14 +134,14 @@
 	fails    float64 // share, of late
 	tries    int     // since it came up
 	circuit  Circuit
-	until    time.Duration // the circuit is open
-	ejected  int           // in a row
-	trial    bool          // a try is out while half open
-	since    time.Duration // up
-	away     time.Duration // it asked to be left alone until then
-	credit   float64       // requests that it wants out there at most; 0: not told
-	boot     int64         // Unix milliseconds of its start, as it says; 0: it does not
-	lostAt   time.Duration // when an incarnation that may have run sheets was last there; 0: none was lost
+	until    time.Duration            // the circuit is open
+	ejected  int                      // in a row
+	trial    bool                     // a try is out while half open
+	since    time.Duration            // up
+	away     map[string]time.Duration // by tenant, whose requests it asked to be left alone with until then
+	credit   float64                  // requests that it wants out there at most; 0: not told
+	boot     int64                    // Unix milliseconds of its start, as it says; 0: it does not
+	lostAt   time.Duration            // when an incarnation that may have run sheets was last there; 0: none was lost
 	lostKeys bool
 }
 
@@ -298,8 +300,10 @@
 	s.ejected++
 }
 
-// Told is what an answer said beside its outcome: the free value as a credit, and how long to stay away.
-func (t *Table) Told(now time.Duration, name string, credit float64, away time.Duration) {
+// Told is what an answer to a tenant's request said beside its outcome: the free value as a credit, and how long to stay away. That
+// is for the tenant alone: a server turns away first who has more than its share, and what one that floods is told says nothing
+// to the others in its cell.
+func (t *Table) Told(now time.Duration, tenant, name string, credit float64, away time.Duration) {
 	s := t.servers[name]
 	if s == nil {
 		return
@@ -308,16 +312,22 @@
 		s.credit = credit
 	}
 	if away > 0 {
-		s.away = max(s.away, now+away)
+		if len(s.away) >= mostAway {
+			maps.DeleteFunc(s.away, func(_ string, until time.Duration) bool { return now >= until })
+		}
+		if s.away == nil || len(s.away) >= mostAway {
+			s.away = map[string]time.Duration{}
+		}
+		s.away[tenant] = max(s.away[tenant], now+away)
 	}
 }
 
 // usable reports whether a server may get a try now, by its own state.
-func (t *Table) usable(now time.Duration, s *server) bool {
+func (t *Table) usable(now time.Duration, tenant string, s *server) bool {
 	if s.circuit == Open && now >= s.until {
 		s.circuit = Half
 	}
-	return s.health != Dead && s.circuit != Open && !(s.circuit == Half && s.trial) && now >= s.away &&
+	return s.health != Dead && s.circuit != Open && !(s.circuit == Half && s.trial) && now >= s.away[tenant] &&
 		s.flying < t.cfg.Open && !(s.credit > 0 && float64(s.flying) >= max(1, s.credit))
 }
 
@@ -351,7 +361,7 @@
 // Pick chooses the server for a try of what needs no home: the better of two drawn from those of the tenant that may be
 // used. Where fewer than the panic share may be, health says more of the router than of the servers, and all are drawn
 // from but those that asked to be left alone. False where nobody can be asked.
-func (t *Table) Pick(now time.Duration, among []string, not string) (string, bool) {
+func (t *Table) Pick(now time.Duration, tenant string, among []string, not string) (string, bool) {
 	all := t.draw(among)
 	good := make([]*server, 0, len(all))
 	out := 0
@@ -359,7 +369,7 @@
 		if s.name == not {
 			continue
 		}
-		if t.usable(now, s) {
+		if t.usable(now, tenant, s) {
 			good = append(good, s)
 		} else if s.health == Dead || s.circuit == Open {
 			out++
@@ -369,7 +379,7 @@
 		t.counts.Panicked++
 		good = good[:0]
 		for _, s := range all {
-			if s.name != not && now >= s.away && s.flying < t.cfg.Open {
+			if s.name != not && now >= s.away[tenant] && s.flying < t.cfg.Open {
 				good = append(good, s)
 			}
 		}
@@ -455,14 +465,14 @@
 
 // Home tells what may be done with a sheet at its home. A server that is dead, or came back without what it knew, may
 // have run it, and nobody else may then: until no try of it can come any more the answer is that it failed.
-func (t *Table) Home(now time.Duration, name string) Home {
+func (t *Table) Home(now time.Duration, tenant, name string) Home {
 	s := t.servers[name]
 	switch {
 	case s == nil || s.health == Dead:
 		return Lost
 	case s.lostKeys && now-s.lostAt < t.cfg.Window:
 		return Lost
-	case now < s.away || s.flying >= t.cfg.Open:
+	case now < s.away[tenant] || s.flying >= t.cfg.Open:
 		return Waiting
 	}
 	return Send
--- a/internal/shares/holder.go
+++ b/internal/shares/holder.go
@@ -32,9 +32,9 @@
 }
 
 const (
-	lately = 0.5  // seconds over which demand is taken
-	burst  = 0.25 // seconds of a part that may be used at once
-	atOnce = 4.0  // requests, at least
+	lately = 1.0 // seconds over which demand is taken
+	burst  = 1.0 // seconds of a part that may be used at once
+	atOnce = 6.0 // requests, at least
 )
 
 // NewHolder returns the side of one of so many routers.
@@ -49,8 +49,8 @@
 		return
 	}
 	for cell, w := range cells {
-		for tenant := range w.Tenants {
-			h.kept[Key{cell, tenant}] = w.good(tenant, h.most)
+		for tenant, part := range w.split(ForGood/float64(h.most), nil) {
+			h.kept[Key{cell, tenant}] = part
 		}
 	}
 }
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -19,7 +19,11 @@
 
 // ForGood is the share of a whole that is never lent: each of at most so many routers has an equal part of it, whether it can reach
 // the group or not.
-const ForGood = 0.2
+const ForGood = 0.1
+
+// Use is the share of what servers can do that is given out: beyond it their queues grow, and they turn away by chance what comes
+// within everybody's part.
+const Use = 0.85
 
 // Whole is what there is in a cell: the requests a second that each of its servers can do, and the tenants that live there.
 type Whole struct {
@@ -27,7 +31,7 @@
 	Tenants map[string]Tenant
 }
 
-// Tenant is a tenant of a cell: the rate that it has agreed on, and the servers that its requests go to, to each alike.
+// Tenant is a tenant of a cell: the rate that it has agreed on, and the servers that its requests go to, to whichever has room.
 type Tenant struct {
 	Rate float64
 	On   []string
@@ -46,7 +50,7 @@
 		}
 		for _, c := range m.Cells {
 			if c.Name == s.Cell {
-				all[c.Name].Servers[s.Name] = s.Weight * c.Capacity
+				all[c.Name].Servers[s.Name] = Use * s.Weight * c.Capacity
 			}
 		}
 	}
@@ -64,26 +68,12 @@
 	return all
 }
 
-// good is the part of a tenant that each of so many routers has for good.
-func (w Whole) good(tenant string, most int) float64 {
-	if most <= 0 {
-		return 0
-	}
-	names, claims := w.claims(nil)
-	for i, part := range Fill(w.caps(ForGood/float64(most)), claims) {
-		if names[i] == tenant {
-			return part
-		}
-	}
-	return 0
-}
-
 // ---- How a whole is divided ----
 
-// Claim is somebody's claim on some resources, which he uses alike.
+// Claim is somebody's claim on some resources, of each of which he uses all that he is given.
 type Claim struct {
 	Weight float64
-	Demand float64 // what he would use of all of them together; what is left when all have theirs goes to all by weight
+	Demand float64 // what he would use; what is left when all have theirs goes to all by weight
 	On     []int   // which
 }
 
@@ -105,7 +95,7 @@
 				}
 				any = true
 				for _, j := range c.On {
-					rate[j] += c.Weight / float64(len(c.On))
+					rate[j] += c.Weight
 				}
 				if bounded {
 					grow = min(grow, (c.Demand-got[i])/c.Weight)
@@ -142,30 +132,87 @@
 
 const tiny = 1e-9
 
-// caps are the capacities of the servers by name, times a share.
-func (w Whole) caps(share float64) []float64 {
-	var list []float64
-	for _, name := range slices.Sorted(maps.Keys(w.Servers)) {
-		list = append(list, share*w.Servers[name])
+// group is some servers of a cell and the tenants that live on these alone: together they get no more than these can do.
+type group struct {
+	capacity float64
+	members  []string
+}
+
+// mostShards bounds the shards of which all pairs are looked at; with more, only each by itself and the whole cell are.
+const mostShards = 16
+
+// groups are all that bound the tenants of a cell: each shard, two that may overlap, and the cell.
+func (w Whole) groups() (list []group) {
+	var sets [][]string
+	add := func(set []string) bool {
+		if len(set) == 0 || slices.ContainsFunc(sets, func(other []string) bool { return slices.Equal(other, set) }) {
+			return false
+		}
+		sets = append(sets, set)
+		return true
+	}
+	names := slices.Sorted(maps.Keys(w.Tenants))
+	for _, name := range names {
+		add(slices.Sorted(slices.Values(w.Tenants[name].On)))
+	}
+	if n := len(sets); n <= mostShards {
+		for i := range n {
+			for j := range i {
+				add(slices.Compact(slices.Sorted(slices.Values(slices.Concat(sets[i], sets[j])))))
+			}
+		}
+	}
+	add(slices.Sorted(maps.Keys(w.Servers)))
+	for _, set := range sets {
+		g := group{}
+		for _, s := range set {
+			g.capacity += w.Servers[s]
+		}
+		for _, name := range names {
+			inside := len(w.Tenants[name].On) > 0
+			for _, s := range w.Tenants[name].On {
+				inside = inside && slices.Contains(set, s)
+			}
+			if inside {
+				g.members = append(g.members, name)
+			}
+		}
+		list = append(list, g)
 	}
 	return list
 }
 
-// claims are those of the tenants by name; demand may be nil for none.
-func (w Whole) claims(demand map[string]float64) (names []string, list []Claim) {
-	servers := slices.Sorted(maps.Keys(w.Servers))
-	names = slices.Sorted(maps.Keys(w.Tenants))
+// split divides a share of a cell among its tenants by what each wants, nil for nothing.
+func (w Whole) split(share float64, wants map[string]float64) map[string]float64 {
+	var caps []float64
+	claims, names := map[string]*Claim{}, slices.Sorted(maps.Keys(w.Tenants))
 	for _, name := range names {
-		t := w.Tenants[name]
-		c := Claim{Weight: max(t.Rate, leastRate), Demand: spare * demand[name]}
-		for _, s := range t.On {
-			if j, ok := slices.BinarySearch(servers, s); ok {
-				c.On = append(c.On, j)
-			}
+		claims[name] = &Claim{Weight: max(w.Tenants[name].Rate, leastRate), Demand: wants[name]}
+	}
+	for j, g := range w.groups() {
+		caps = append(caps, share*g.capacity)
+		for _, name := range g.members {
+			claims[name].On = append(claims[name].On, j)
 		}
-		list = append(list, c)
 	}
-	return names, list
+	list := make([]Claim, len(names))
+	for i, name := range names {
+		list[i] = *claims[name]
+	}
+	got := map[string]float64{}
+	for i, part := range Fill(caps, list) {
+		got[names[i]] = part
+	}
+	return got
+}
+
+// want is what somebody is to have who was asked for a rate lately: with what chance adds to it, as that rate was seen for a time
+// only.
+func want(rate float64) float64 {
+	if rate <= 0 {
+		return 0
+	}
+	return rate + chance*math.Sqrt(rate/(2*lately)) + 1
 }
 
 // Targets are the parts of one cell that all routers should have by what they say that they are asked for: the cell among tenants
@@ -176,25 +223,24 @@
 	for _, r := range routers {
 		got[r] = map[string]float64{}
 		for t, d := range demand[r] {
-			sums[t] += d
+			sums[t] += want(d)
 		}
 	}
-	tenants, claims := w.claims(sums)
-	for i, part := range Fill(w.caps(1-ForGood), claims) {
+	for tenant, part := range w.split(1-ForGood, sums) {
 		each := make([]Claim, len(routers))
 		for j, r := range routers {
-			d := demand[r][tenants[i]]
-			each[j] = Claim{d + little*(sums[tenants[i]]+1), spare * d, []int{0}}
+			d := want(demand[r][tenant])
+			each[j] = Claim{d + little*(sums[tenant]+1), d, []int{0}}
 		}
 		for j, p := range Fill([]float64{part}, each) {
-			got[routers[j]][tenants[i]] = p
+			got[routers[j]][tenant] = p
 		}
 	}
 	return got
 }
 
 const (
-	spare     = 1.25 // of what a tenant was asked for lately, so that it can grow between two words
+	chance    = 2.0  // standard deviations of what is asked for
 	leastRate = 1e-3 // of a tenant that has agreed on nothing
 	little    = 0.02 // of all that a tenant is asked for: by so much a router counts that brings nothing
 )
@@ -260,21 +306,19 @@
 // Set sets what there is.
 func (l *Ledger) Set(cells map[string]Whole) { l.cells = cells }
 
-// may is the most that a user may be acting on at each server of a cell: it acts on one of what it was given.
-func (l *Ledger) may(u *user, cell string, w Whole, now time.Duration) map[string]float64 {
-	most := map[string]float64{}
+// may is the most that a user may be acting on of each group of a cell: it acts on one of what it was given.
+func (l *Ledger) may(u *user, cell string, groups []group, now time.Duration) []float64 {
+	most := make([]float64, len(groups))
 	for _, g := range u.out {
 		if now-g.at >= l.terms.Wait() {
 			continue
 		}
-		on := map[string]float64{}
-		for tenant, t := range w.Tenants {
-			for _, s := range t.On {
-				on[s] += g.parts[Key{cell, tenant}] / float64(len(t.On))
+		for i, of := range groups {
+			sum := 0.0
+			for _, tenant := range of.members {
+				sum += g.parts[Key{cell, tenant}]
 			}
-		}
-		for s, r := range on {
-			most[s] = max(most[s], r)
+			most[i] = max(most[i], sum)
 		}
 	}
 	return most
@@ -351,49 +395,49 @@
 	return len(l.users)
 }
 
-// clamp bounds what a user is to be given so that with all that others may be acting on no server has more than there is.
+// clamp bounds what a user is to be given so that with all that others may be acting on no group has more than there is.
 func (l *Ledger) clamp(cell string, w Whole, u *user, mine map[string]float64, now time.Duration) map[string]float64 {
-	room, wants := map[string]float64{}, map[string]float64{}
-	for s, c := range w.Servers {
-		room[s] = c * (1 - ForGood)
+	groups := w.groups()
+	room := make([]float64, len(groups))
+	for i, g := range groups {
+		room[i] = g.capacity * (1 - ForGood)
 	}
 	for _, other := range l.users {
 		if other == u {
 			continue
 		}
-		for s, r := range l.may(other, cell, w, now) {
-			room[s] -= r
+		for i, r := range l.may(other, cell, groups, now) {
+			room[i] -= r
 		}
 	}
-	for tenant, part := range mine {
-		t := w.Tenants[tenant]
-		for _, s := range t.On {
-			wants[s] += part / float64(len(t.On))
+	got := maps.Clone(mine)
+	for i, g := range groups {
+		wants := 0.0
+		for _, tenant := range g.members {
+			wants += mine[tenant]
 		}
-	}
-	got := map[string]float64{}
-	for tenant, part := range mine {
-		fits := 1.0
-		for _, s := range w.Tenants[tenant].On {
-			if wants[s] > 0 {
-				fits = min(fits, max(0, room[s])/wants[s])
+		for _, tenant := range g.members {
+			if wants > 0 {
+				got[tenant] = min(got[tenant], mine[tenant]*max(0, room[i])/wants)
 			}
 		}
-		got[tenant] = part * fits
 	}
 	return got
 }
 
-// Lent is the most that all routers together may be acting on at each server of a cell, as a share of what there is to lend.
+// Lent is the most that all routers together may be acting on of any group of a cell, as a share of what there is to lend.
 func (l *Ledger) Lent(now time.Duration, cell string) (most float64) {
-	w, sum := l.cells[cell], map[string]float64{}
+	groups := l.cells[cell].groups()
+	sums := make([]float64, len(groups))
 	for _, u := range l.users {
-		for s, r := range l.may(u, cell, w, now) {
-			sum[s] += r
+		for i, r := range l.may(u, cell, groups, now) {
+			sums[i] += r
 		}
 	}
-	for s, r := range sum {
-		most = max(most, r/(w.Servers[s]*(1-ForGood)))
+	for i, g := range groups {
+		if g.capacity > 0 {
+			most = max(most, sums[i]/(g.capacity*(1-ForGood)))
+		}
 	}
 	return most
 }
