A member whose address was taken meanwhile starts at another; both parts are there before a cut

Run beside each other, tests took each other's free addresses now and then (a member ended without listening), and TestPartsOfACell cut a router off before it had its part, so that its slow clock did no harm.

--- a/cmd/silverpath/overlap_test.go
+++ b/cmd/silverpath/overlap_test.go
@@ -519,6 +519,7 @@
 				}
 			}
 			reaches(two, whole*0.35, 5*time.Second) // about half of what is lent, and its part for good
+			reaches(one, whole*0.35, 5*time.Second)
 			for _, w := range ways {
 				w.Cut(true)
 			}
--- a/internal/harness/group.go
+++ b/internal/harness/group.go
@@ -57,7 +57,14 @@
 		g.Client.Addrs = append(g.Client.Addrs, way.Addr())
 	}
 	for i := range n {
-		if err := g.Start(i); err != nil {
+		err := g.Start(i)
+		for try := 0; err != nil && try < 4; try++ { // somebody else has come to the address meanwhile
+			if g.Addrs[i], err = FreeAddr(); err == nil {
+				g.Ways[i].To(g.Addrs[i])
+				err = g.Start(i)
+			}
+		}
+		if err != nil {
 			return g, err
 		}
 	}
