--- a/cmd/silverpath/group_test.go
+++ b/cmd/silverpath/group_test.go
@@ -60,6 +60,7 @@
 	if n, err := strconv.Atoi(os.Getenv("SILVERPATH_FORMAT")); err == nil { // a build that reads another format of the routing
 		follow.Formats = map[string]int{rulebook.DocRouting: n}
 	}
+	storeProgram()
 	core.Unfenced = os.Getenv("SILVERPATH_UNFENCED") != ""
 	if os.Getenv("SILVERPATH_STOP_ROUTED") != "" {
 		var once atomic.Bool
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -57,6 +57,8 @@
 	Wait    time.Duration // refused: stay away for so long
 	Final   bool          // refused: don't try elsewhere
 	Why     string        // refused: what a router has to know of it; empty where that is nothing
+
+	lasts <-chan error // it may go once this is told; nil: at once
 }
 
 // What a router is told beside a refusal.
@@ -120,6 +122,7 @@
 	stats  *stats.Counters
 	runner Runner
 	caller Caller
+	keeper Keeper // nil: runs are forgotten with the process
 	base   time.Time
 	idle   chan struct{} // closed when draining and nothing is owed
 	shown  atomic.Pointer[View]
@@ -303,7 +306,13 @@
 func (c *Core) IdleAfter() time.Duration { return c.shown.Load().IdleAfter }
 
 // Boot is when the service started, in Unix milliseconds, where it serves in a cell, and whether it does.
-func (c *Core) Boot() (int64, bool) { return c.base.UnixMilli(), c.cell }
+// Where runs are kept over a restart, it is since when they are.
+func (c *Core) Boot() (int64, bool) {
+	if c.cell && c.keeper != nil {
+		return c.keeper.Since(), true
+	}
+	return c.base.UnixMilli(), c.cell
+}
 
 // Tells adds a part to the status; the function returns JSON. It is called before the first request.
 func (c *Core) Tells(name string, part func() []byte) {
--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -41,7 +41,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
 		var lines strings.Builder
-		counters, sheet := &stats.Counters{}, keyed
+		counters, sheet := &stats.Counters{}, sheets
 		sheet.Aim, sheet.Worth = 3*time.Second, 3
 		c, err := New(Config{
 			Name: "n1", Status: true, MemoryMB: 512, Pools: &cfg, Stats: counters,
@@ -94,7 +94,7 @@
 }
 
 // While a flood of a class is turned away on arrival its door is shut: what comes then is refused unread, the module
-// hears of it, and a keyed class, whose requests may be repeats, is always read.
+// hears of it, and a sheets class, whose requests may be repeats, is always read.
 func TestDoorShutsInAFlood(t *testing.T) {
 	pooled(t, two(), func(c *Core, r *busyRunner, s *stats.Counters, _ func() string) {
 		for round := range 10 { // so that the module knows what a run takes
@@ -118,7 +118,7 @@
 			t.Errorf("%+v, %v after %d refusals", a, shut, len(refused))
 		}
 		if _, shut := c.Shut("test", "oddaja"); shut {
-			t.Error("a keyed class is shut")
+			t.Error("a sheets class is shut")
 		}
 		time.Sleep(25 * time.Millisecond)
 		if _, shut := c.Shut("test", "lestvica"); shut {
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -6,6 +6,7 @@
 
 	"silverpath"
 	"silverpath/internal/handover"
+	"silverpath/internal/keyed"
 )
 
 // flight is the one run of a request that may come again: held, under way, or over with its result.
@@ -20,8 +21,10 @@
 	result  []byte
 	ended   time.Time
 	joined  []*task
-	theirs  bool // of the other process of a pair
-	unrun   bool // theirs, and only taken there
+	theirs  bool   // of the other process of a pair
+	unrun   bool   // theirs, and only taken there
+	seq     uint64 // of its record, where runs are kept; 0: it has none
+	saving  []byte // its result, while that is being kept
 }
 
 // entry is what is known under one key.
@@ -34,7 +37,8 @@
 	window time.Duration
 	// moved: until then no try of it is run here, as a router asked for it, it was not known, and it runs elsewhere.
 	moved time.Time
-	fresh bool // of a read: it serves others while it is under way and a little longer
+	mark  uint64 // of the record that says so, where that is kept
+	fresh bool   // of a read: it serves others while it is under way and a little longer
 	size  int
 }
 
@@ -46,6 +50,8 @@
 	size    int
 	limit   int
 	sum     func(t *task) uint64 // of what every try of a request is
+	// begins is what becomes of the first try of a key, where runs are kept; nil: nothing is against it.
+	begins func(t *task) keyed.Verdict
 }
 
 func newKeyTable(limit int) keyTable {
@@ -107,6 +113,11 @@
 		t.elsewhere = WhyMoved
 		return true
 	}
+	if k.begins != nil && t.sheet() {
+		if t.turned = k.begins(t); t.turned.Do != keyed.Begin {
+			return true
+		}
+	}
 	if k.size >= k.limit {
 		return false
 	}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -8,6 +8,7 @@
 	"silverpath"
 	"silverpath/internal/events"
 	"silverpath/internal/handover"
+	"silverpath/internal/keyed"
 	"silverpath/internal/phase"
 )
 
@@ -37,6 +38,7 @@
 	stranger bool
 	// elsewhere: its key belongs to another server, and why.
 	elsewhere string
+	turned    keyed.Verdict      // what the store says of it, where runs are kept
 	barred    string             // why nothing new begins by the rules that it was sent by; empty: nothing is against it
 	cancel    context.CancelFunc // gives up the call that is out
 	timer     *time.Timer
@@ -59,6 +61,8 @@
 	spent    time.Duration
 	note     handover.Note // toRun: how the other process hears of it first
 	link     int           // and on which link
+	err      error         // promised: why the promise is not known to last
+	kept     bool          // ended: the result lasts, or never will
 }
 
 type stepKind int
@@ -68,6 +72,7 @@
 	toCall                   // likewise
 	toAnswer                 // its one answer is settled
 	awaits                   // its run waits for a call
+	promised                 // that it runs is on the disk, where runs are kept
 	ended                    // its run, or its join, has ended
 	left                     // its caller has left
 	overdue                  // its due time has come
@@ -89,18 +94,20 @@
 func (c *Core) Serve(r Request, reply func(Answer)) {
 	t, refusal := c.arrive(r) // the module's choice: hold, run, join or refuse
 	if t == nil {
-		reply(refusal)
+		reply(c.lasting(r, refusal))
 		return
 	}
 	for {
 		switch s := c.next(t); s.kind {
 		case toRun:
 			if !c.told(s.note, s.link) { // the other process has to know first
-				c.unrun(t)
-			} else if f, hands := c.runner.(Forwarder); hands {
-				f.Forward(t.Request)
-			} else {
-				c.runner.Run(t.ID, t.Class, t.Body)
+				c.unrun(t, step{})
+			} else if !c.promises(t) { // the disk too, where runs are kept: promised comes once it does
+				c.hand(t)
+			}
+		case promised:
+			if c.begun(t, s) {
+				c.hand(t)
 			}
 		case awaits:
 			t.ask = s.data
@@ -112,7 +119,9 @@
 			}
 			c.choose(func(m *silverpath.Shedder, now time.Duration) { m.CallEnded(now, t.ID, outcome, spent) })
 		case ended:
-			c.end(t, s)
+			if !c.saves(t, s) { // a result lasts before it is told: ended comes again once it does
+				c.end(t, s)
+			}
 		case left:
 			c.leave(t)
 		case overdue:
@@ -127,6 +136,15 @@
 	}
 }
 
+// hand gives a request to the runner.
+func (c *Core) hand(t *task) {
+	if f, hands := c.runner.(Forwarder); hands {
+		f.Forward(t.Request)
+	} else {
+		c.runner.Run(t.ID, t.Class, t.Body)
+	}
+}
+
 // choose is a point of choice: the module hears of an event, and what it then asks for is done.
 func (c *Core) choose(event func(m *silverpath.Shedder, now time.Duration)) {
 	c.mu.Lock()
@@ -175,8 +193,13 @@
 		why = "keys_full"
 	case t.stranger:
 		why, full = "key_conflict", Answer{Outcome: Invalid}
+	case t.turned.Do != keyed.Begin:
+		why, full = t.turned.Why, c.turnedAway(t.turned)
 	case t.elsewhere != "":
 		why, full = t.elsewhere, Answer{Outcome: Refused, Wait: set.MaxAdvice, Why: t.elsewhere}
+		if t.elsewhere == WhyUnknown {
+			c.markMoved(t, &full)
+		}
 	case t.repeats == nil && r.Due.Sub(now) <= backstop:
 		// Due as it is read: the module has no tick left to answer it in, and would start it where there is room.
 		why, full = "due", Answer{Outcome: Expired}
@@ -323,6 +346,7 @@
 	if !wasJoin {
 		c.stats.Inc("runs", t.Class, outcomeNames[s.outcome])
 		c.keys.done(t.flight, s.outcome, s.data, time.Now())
+		c.keptEnd(t.flight, s.outcome)
 		c.tellEnd(t.flight)
 		c.wakeJoined(t.flight)
 	}
--- a/internal/core/pair.go
+++ b/internal/core/pair.go
@@ -47,16 +47,19 @@
 	p := &pair{PairConfig: cfg, bell: make(chan struct{}), risen: make(chan struct{}), asking: map[string]chan struct{}{},
 		limits: [2]int{c.keys.limit, c.maxTasks}}
 	p.side = handover.New((*pairKeys)(c))
-	c.keys.sum = func(t *task) uint64 { // the same in both processes
-		h := sha256.New()
-		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(t.Tenant))))
-		h.Write([]byte(t.Tenant))
-		h.Write(t.Body)
-		return binary.BigEndian.Uint64(h.Sum(nil))
-	}
+	c.keys.sum = lastingSum // the same in both processes
 	return p
 }
 
+// lastingSum is the same in every process.
+func lastingSum(t *task) uint64 {
+	h := sha256.New()
+	h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(t.Tenant))))
+	h.Write([]byte(t.Tenant))
+	h.Write(t.Body)
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
+
 // settlePair carries out what the half asks for. It is called under the lock, after every event.
 func (c *Core) settlePair() {
 	p := c.pair
@@ -355,11 +358,12 @@
 	return true
 }
 
-// unrun ends a run that has not begun.
-func (c *Core) unrun(t *task) {
+// unrun ends a run that has not begun, with the answer of the step where that gives one.
+func (c *Core) unrun(t *task, s step) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t.post(step{kind: ended, outcome: silverpath.Ignored})
+	s.kind, s.outcome = ended, silverpath.Ignored
+	t.post(s)
 }
 
 // tellEnd tells the other process how a run ended, or that it never began.
--- a/internal/core/pair_test.go
+++ b/internal/core/pair_test.go
@@ -44,7 +44,7 @@
 		w.ran = map[string]string{} // a service that starts from nothing knows nothing
 	}
 	c, err := New(Config{Name: "n", MemoryMB: 64, Log: log.New(io.Discard, "", 0), Stats: &stats.Counters{},
-		Settings: silverpath.Settings{Cores: 1, MemoryKB: 1e6, Classes: []silverpath.Class{keyed}},
+		Settings: silverpath.Settings{Cores: 1, MemoryKB: 1e6, Classes: []silverpath.Class{sheets}},
 		Pair: &PairConfig{Ring: func() {}, Shared: func(bool) {},
 			Flush: func(int) error { return nil }, Mark: func() error { return nil }}})
 	if err != nil {
@@ -180,10 +180,10 @@
 		return
 	}
 	w.seq++
-	t := &task{class: keyed, bell: make(chan struct{}, 1), Request: Request{ID: fmt.Sprint("t", w.seq), Class: "oddaja", Key: key,
+	t := &task{class: sheets, bell: make(chan struct{}, 1), Request: Request{ID: fmt.Sprint("t", w.seq), Class: "oddaja", Key: key,
 		Reached: w.now, Due: w.now.Add(4 * time.Second), Body: []byte(key)}}
 	h.c.mu.Lock()
-	h.c.pair.side.Want(keyOf(keyed, &t.Request))
+	h.c.pair.side.Want(keyOf(sheets, &t.Request))
 	h.c.mu.Unlock()
 	h.tries[key] = append(h.tries[key], t)
 	w.poll(i)
@@ -207,8 +207,8 @@
 				waiting = append(waiting, t)
 				continue
 			}
-			f := handover.Flight{Key: keyOf(keyed, &t.Request), ID: t.ID, Sum: c.keys.sum(t), Reached: w.now.UnixNano(),
-				Until: w.now.Add(time.Hour).UnixNano(), Window: keyed.KeyWindow}
+			f := handover.Flight{Key: keyOf(sheets, &t.Request), ID: t.ID, Sum: c.keys.sum(t), Reached: w.now.UnixNano(),
+				Until: w.now.Add(time.Hour).UnixNano(), Window: sheets.KeyWindow}
 			v := c.pair.side.Ask(f)
 			c.settlePair()
 			if v == handover.Wait {
@@ -288,7 +288,7 @@
 // run begins a run, as far as the other process has to hear of it first.
 func (w *world) run(i int, f *flight, cutBefore bool) {
 	c := w.procs[i].c
-	t := &task{class: keyed, flight: f, Request: Request{ID: f.id, Class: "oddaja", Key: f.entry.key[1:]}}
+	t := &task{class: sheets, flight: f, Request: Request{ID: f.id, Class: "oddaja", Key: f.entry.key[1:]}}
 	c.mu.Lock()
 	if !c.keys.start(t) {
 		w.t.Fatalf("%s does not start", t.Key)
@@ -327,7 +327,7 @@
 func (w *world) drop(i int, f *flight) {
 	c := w.procs[i].c
 	c.mu.Lock()
-	c.release(&task{class: keyed, flight: f})
+	c.release(&task{class: sheets, flight: f})
 	c.mu.Unlock()
 	w.flush(i, w.link[i])
 }
--- a/internal/lab/shared.go
+++ b/internal/lab/shared.go
@@ -28,6 +28,10 @@
 	Dir  string
 	// Edit changes the configuration of processes to be started; nil: as it is.
 	Edit func(text string) string
+	// Args are more arguments of processes to be started, and Env more of their environment.
+	Args, Env []string
+	// Wait is how long clients wait for an answer.
+	Wait time.Duration
 
 	t        testing.TB
 	bin      string
@@ -45,7 +49,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	s := &Shared{Addr: ln.Addr().String(), Dir: t.TempDir(), t: t, bin: bin, env: env, held: held}
+	s := &Shared{Addr: ln.Addr().String(), Dir: t.TempDir(), t: t, bin: bin, env: env, held: held, Wait: 4 * time.Second}
 	if held {
 		if s.socket, err = ln.(*net.TCPListener).File(); err != nil {
 			t.Fatal(err)
@@ -93,8 +97,8 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	cmd := exec.Command(s.bin, "serve")
-	cmd.Env = append(append(os.Environ(), s.env...), "LB_CONFIG="+file, "TMPDIR="+s.Dir)
+	cmd := exec.Command(s.bin, append([]string{"serve"}, s.Args...)...)
+	cmd.Env = append(append(append(os.Environ(), s.env...), s.Env...), "LB_CONFIG="+file, "TMPDIR="+s.Dir)
 	if s.held {
 		cmd.Env = append(cmd.Env, "LB_SOCKET_FD=3")
 		cmd.ExtraFiles = []*os.File{s.socket}
@@ -210,9 +214,9 @@
 	conn, err := net.DialTimeout("tcp", l.s.Addr, time.Second)
 	if err == nil {
 		defer conn.Close()
-		conn.SetDeadline(sent.Add(6 * time.Second))
+		conn.SetDeadline(sent.Add(l.s.Wait + 2*time.Second))
 		_, err = conn.Write(msgpackrpc.AppendRequest(nil, 1, "oddaja", []byte(sheet), "i", id, "k", sheet,
-			"s", strconv.FormatInt(sent.UnixMilli(), 10), "d", "4000", "m", "1"))
+			"s", strconv.FormatInt(sent.UnixMilli(), 10), "d", strconv.FormatInt(l.s.Wait.Milliseconds(), 10), "m", "1"))
 	}
 	r := msgpackrpc.Reply{Notification: "none"}
 	for in := bufio.NewReader(conn); err == nil && r.Notification != ""; {
@@ -271,3 +275,13 @@
 	visit(nil, fastjson.MustParse(text))
 	return list
 }
+
+// Harmed reports whether some sheet has run twice by now.
+func (l *Sheets) Harmed() bool {
+	for _, n := range l.s.Runs() {
+		if n > 1 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -161,6 +161,7 @@
 	most  int
 	op    Operator
 	order Orders // nil: none are taken
+	snap  func() (string, error)
 	log   *log.Logger
 	stats *stats.Counters
 	took  *stats.Timing
@@ -190,6 +191,9 @@
 // Orders sets who takes orders. It is called before Serve.
 func (s *Server) Orders(o Orders) { s.order = o }
 
+// Snapshots sets who makes a copy of the store and says where it lies. It is called before Serve.
+func (s *Server) Snapshots(make func() (path string, err error)) { s.snap = make }
+
 // Addr is the address listened on.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
@@ -341,6 +345,16 @@
 // answer makes a call and says what became of it.
 func (s *Server) answer(conn net.Conn, c call) {
 	k, known := calls[c.path]
+	if c.path == "/api/snapshot" && s.snap != nil {
+		k.method, k.no, known = "POST", 503, true
+		k.do = func(Operator) (bool, string) {
+			path, err := s.snap()
+			if err != nil {
+				return false, err.Error()
+			}
+			return true, path
+		}
+	}
 	if !known {
 		s.refuse(conn, &problem{404, "unknown_path", "no such call"})
 		return
@@ -350,7 +364,7 @@
 		return
 	}
 	do := func() (bool, string) { return k.do(s.op) }
-	if s.order != nil && k.method == "POST" && c.query != "" {
+	if s.order != nil && k.method == "POST" && c.query != "" && c.path != "/api/snapshot" {
 		var bad *problem
 		if do, bad = s.ordered(c, do); bad != nil {
 			s.refuse(conn, bad)
--- a/internal/service/describe.go
+++ b/internal/service/describe.go
@@ -55,6 +55,9 @@
 	if !e.PoolsOn() {
 		s += "  pools: off\n"
 	}
+	if st := e.Store; st != nil {
+		s += fmt.Sprintf("  store: %s\n", st.Dir)
+	}
 	if r := e.Reserve; r != nil {
 		s += fmt.Sprintf("  reserve: %s\n", r)
 	} else {
--- a/internal/service/server.go
+++ b/internal/service/server.go
@@ -15,6 +15,7 @@
 	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
 	"silverpath/internal/standin"
+	"silverpath/internal/store"
 	"silverpath/internal/vault"
 )
 
@@ -31,6 +32,9 @@
 	if err := s.takeOrders(); err != nil {
 		return err
 	}
+	if err := s.openStore(); err != nil {
+		return err
+	}
 	if err := s.followRules(map[string]follow.Document{rulebook.DocPools: s.poolsDocument()}, s.worth, nil, nil, nil); err != nil {
 		return err
 	}
@@ -66,6 +70,38 @@
 	return nil
 }
 
+// storePart is the part of the memory that a store's records may take at the most: pages of its file count too.
+const storePart = 4
+
+// openStore has the runs of keyed requests outlive the process, where an edge file says so.
+func (s *Service) openStore() (err error) {
+	set := s.cfg.Edge.Store
+	if set == nil {
+		return nil
+	}
+	if s.pair != nil {
+		return errors.New("store: not beside another process of the service (LB_SOCKET_FD)")
+	}
+	size := set.SizeMB
+	if size == 0 {
+		size = s.cfg.MemoryMB / storePart / 2
+	}
+	if size > s.cfg.MemoryMB/storePart {
+		return fmt.Errorf("store.size_mb: over a quarter of limits.memory_mb: %v", size)
+	}
+	s.store, err = store.Open(store.Config{
+		Dir: set.Dir, Name: s.cfg.Name, Bytes: int(size * (1 << 20)), Result: int(set.ResultKB * (1 << 10)), Gather: set.Gather,
+		Log: s.log, Stats: s.stats,
+	}, s.core)
+	if err != nil {
+		return fmt.Errorf("store.dir: %w", err)
+	}
+	s.core.Keep(s.store)
+	s.core.Tells("store", s.store.Status)
+	s.keep = append(s.keep, s.store.Keep)
+	return nil
+}
+
 // worker starts the built-in worker: an interpreter whose work takes as long as the operators' own typically does.
 func worker(cfg settings.Config) (*standin.Interpreter, error) {
 	n := cfg.Server.Cores
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -29,6 +29,7 @@
 	"silverpath/internal/snmp"
 	"silverpath/internal/standin"
 	"silverpath/internal/stats"
+	"silverpath/internal/store"
 	"silverpath/internal/vault"
 )
 
@@ -65,6 +66,7 @@
 	fleet     *fleet.Runner        // nil but in a router
 	orders    *orders.Orders       // nil: it takes no orders of the fleet
 	follow    *follow.Follower     // nil: it acts on its own files alone
+	store     *store.Store         // nil: what ran is forgotten with the process
 	tuning    sync.Mutex           // of what holds at present of cfg, and of these:
 	classes   int                  // times that the group's classes were taken up
 	agreed    bool                 // the classes are the group's
@@ -179,6 +181,9 @@
 	if s.orders != nil {
 		s.mgmt.Orders(s.orders)
 	}
+	if s.store != nil {
+		s.mgmt.Snapshots(s.store.Snapshot)
+	}
 	return nil
 }
 
@@ -260,6 +265,9 @@
 	if s.worker != nil {
 		s.worker.Close()
 	}
+	if s.store != nil {
+		s.store.Abandon()
+	}
 }
 
 // Addrs are the addresses listened on, in the order platform, SCGI, SNMP.
@@ -311,6 +319,9 @@
 	<-leave
 	err := s.drain()
 	cancel()
+	if s.store != nil {
+		s.store.Close()
+	}
 	if s.pair != nil {
 		<-s.pair.Left() // before the last words: whoever takes over waits for nothing but this
 	}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -25,6 +25,15 @@
 	Fleet   *Fleet               // nil: it is no router
 	Orders  *Orders              // nil: it takes no orders of the fleet
 	Rules   *Rules               // nil: it acts on its own files alone
+	Store   *Store               // nil: what ran is forgotten with the process
+}
+
+// Store sets up where the runs of keyed requests outlive the process: see docs/durable.md.
+type Store struct {
+	Dir      string
+	SizeMB   float64       // of all records; 0: an eighth of the memory
+	ResultKB float64       // set aside for each result that is to come
+	Gather   time.Duration // how long a commit waits for more that could go with it
 }
 
 // Orders sets up a server that takes orders of the fleet: see docs/duties.md.
@@ -65,7 +74,7 @@
 	if err != nil {
 		return Edge{}, err
 	}
-	f.only("status", "cell", "pools", "limit", "memory", "reserve", "fleet", "orders", "rules")
+	f.only("status", "cell", "pools", "limit", "memory", "reserve", "fleet", "orders", "rules", "store")
 	e := Edge{On: true, Status: true}
 	if f.v.Exists("status") {
 		e.Status = f.flag("status")
@@ -89,6 +98,10 @@
 			o.fail("state", "missing")
 		}
 	}
+	e.Store = readStore(f.object("store"))
+	if e.Store != nil && e.Fleet != nil {
+		f.fail("store", "a router keeps no runs")
+	}
 	switch {
 	case err != nil:
 		return e, err
@@ -106,6 +119,28 @@
 	return e, nil
 }
 
+func readStore(f fields) *Store {
+	if f.v == nil {
+		return nil
+	}
+	f.only("dir", "size_mb", "result_kb", "gather_us")
+	set := &Store{Dir: f.text("dir"), SizeMB: f.number("size_mb"), ResultKB: f.number("result_kb"), Gather: f.micros("gather_us")}
+	switch {
+	case set.Dir == "":
+		f.fail("dir", "missing")
+	case !(set.SizeMB >= 0 && set.SizeMB <= 1<<16):
+		f.fail("size_mb", "not from 0 to 65536: %v", set.SizeMB)
+	case !(set.ResultKB >= 0 && set.ResultKB <= 1024):
+		f.fail("result_kb", "not from 0 to 1024: %v", set.ResultKB)
+	case set.Gather < 0 || set.Gather > 100*time.Millisecond:
+		f.fail("gather_us", "not from 0 to 100000: %v", set.Gather.Microseconds())
+	}
+	if set.ResultKB == 0 {
+		set.ResultKB = 16
+	}
+	return set
+}
+
 // readPools reads the pools of a site with their limit and memory stages.
 func readPools(f fields, site silverpath.Settings) (set pools.Config) {
 	f.each("pools", func(_ int, p fields) {
--- a/internal/settings/kinds_test.go
+++ b/internal/settings/kinds_test.go
@@ -42,6 +42,7 @@
 		"edge of a router":   func() error { _, err := ParseEdge(file("route.json"), site); return err },
 		"edge with orders":   func() error { _, err := ParseEdge(file("orders.json"), site); return err },
 		"edge with rules":    func() error { _, err := ParseEdge(file("rules.json"), site); return err },
+		"edge with a store":  func() error { _, err := ParseEdge(file("durable.json"), site); return err },
 		"edge of such a one": func() error { _, err := ParseEdge(file("route-rules.json"), site); return err },
 	} {
 		seen := map[string]bool{}
@@ -54,7 +55,7 @@
 		for _, path := range slices.Sorted(maps.Keys(seen)) {
 			total++
 			// An object is of no kind, what is in it is; one that is not there is looked at elsewhere.
-			leaf := !slices.Contains([]string{"fleet", "orders", "rules", "pools", "reserve", "member.snmp"}, path)
+			leaf := !slices.Contains([]string{"fleet", "orders", "rules", "pools", "reserve", "store", "member.snmp"}, path)
 			for other := range seen {
 				leaf = leaf && !strings.HasPrefix(other, path+".") && !strings.HasPrefix(other, path+"[")
 			}
--- /dev/null
+++ b/internal/store/clock.go
@@ -0,0 +1,43 @@
+package store
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"silverpath/internal/keyed"
+)
+
+// Now is the machine's clock: how long it has been switched on, sleep included, and which time that was. Steps of the wall clock
+// move neither. Test programs put another one in its place.
+var Now = func() keyed.Clock {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return keyed.Clock{Boot: nobody(), Now: time.Since(started)}
+	}
+	return keyed.Clock{Boot: boot(), Now: time.Duration(ts.Nano())}
+}
+
+var started = time.Now()
+
+// boot is the kernel's name for this time of being switched on. Where it has none, each process takes itself for the first.
+var boot = sync.OnceValue(func() string {
+	b, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil || len(b) == 0 {
+		return nobody()
+	}
+	return strings.TrimSpace(string(b))
+})
+
+var nobody = sync.OnceValue(newID)
+
+func newID() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/store/file.go
@@ -0,0 +1,435 @@
+package store
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"silverpath/internal/keyed"
+	"silverpath/internal/lasting"
+)
+
+const (
+	fileName = "keys.db"
+	lockName = "lock"
+	// format is the version of what is on the disk.
+	format = 1
+	// growth is by how many bytes the file grows.
+	growth = 1 << 20
+	// lockWait is how long a process waits for another one that has the file.
+	lockWait = 200 * time.Millisecond
+	// mostRecord bounds a record that is read: more than a runner can bring.
+	mostRecord = 4 << 20
+)
+
+var (
+	bucketMeta   = []byte("meta")
+	bucketKeys   = []byte("keys")
+	bucketBroken = []byte("broken") // records that can't be read, as they were found
+	keyMeta      = []byte("meta")
+)
+
+// header is what a file says of itself.
+type header struct {
+	Format int    `json:"format"`
+	ID     string `json:"id"`
+	Name   string `json:"name"` // of the service
+	Boot   string `json:"boot"`
+	Since  int64  `json:"since_ns"`
+	Whole  bool   `json:"whole"`
+	Wall   int64  `json:"wall_ms"`
+	Clean  bool   `json:"clean"` // closed in good order, and not opened since
+}
+
+func (h header) meta() keyed.Meta {
+	return keyed.Meta{Boot: h.Boot, Since: time.Duration(h.Since), Whole: h.Whole, Wall: h.Wall}
+}
+
+// Fault is asked at every boundary of what is written, by its name, in test programs only: it may wait, end the process, or
+// return the error of a disk that has failed.
+var Fault func(boundary string) error
+
+func boundary(name string) error {
+	if Fault == nil {
+		return nil
+	}
+	return Fault(name)
+}
+
+// ---- Records ----
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// encode is a record as it is written: a checksum, then its fields.
+func encode(r *keyed.Record) []byte {
+	b := make([]byte, 4, 64+r.Size())
+	b = append(b, byte(r.State))
+	for _, n := range []uint64{uint64(r.At), uint64(r.Reached), uint64(r.Until), uint64(r.Window), r.Sum} {
+		b = binary.BigEndian.AppendUint64(b, n)
+	}
+	b = binary.AppendUvarint(b, uint64(len(r.Key)))
+	b = append(b, r.Key...)
+	b = binary.AppendUvarint(b, uint64(len(r.ID)))
+	b = append(b, r.ID...)
+	b = append(b, r.Result...)
+	binary.BigEndian.PutUint32(b, crc32.Checksum(b[4:], table))
+	return b
+}
+
+var errRecord = errors.New("a record that can't be read")
+
+// decode reads a record. What it returns shares nothing with what it read.
+func decode(seq uint64, b []byte) (r keyed.Record, err error) {
+	const fixed = 4 + 1 + 5*8
+	if len(b) < fixed || len(b) > mostRecord || crc32.Checksum(b[4:], table) != binary.BigEndian.Uint32(b) {
+		return r, errRecord
+	}
+	r.Seq, r.State = seq, keyed.State(b[4])
+	if r.State == keyed.Unknown || r.State >= keyed.Expired {
+		return r, errRecord
+	}
+	n := func(i int) uint64 { return binary.BigEndian.Uint64(b[5+8*i:]) }
+	r.At, r.Reached, r.Until, r.Window, r.Sum = time.Duration(n(0)), time.Duration(n(1)), time.Duration(n(2)), time.Duration(n(3)), n(4)
+	rest := b[fixed:]
+	text := func() string {
+		size, used := binary.Uvarint(rest)
+		if used <= 0 || size > uint64(len(rest)-used) {
+			err = errRecord
+			return ""
+		}
+		t := string(rest[used : used+int(size)])
+		rest = rest[used+int(size):]
+		return t
+	}
+	if r.Key = text(); err == nil {
+		r.ID = text()
+	}
+	if len(rest) > 0 && err == nil {
+		r.Result = append([]byte(nil), rest...)
+	}
+	return r, err
+}
+
+func number(seq uint64) []byte { return binary.BigEndian.AppendUint64(nil, seq) }
+
+// ---- The file ----
+
+// file is one open file of records.
+type file struct {
+	db   *bbolt.DB
+	path string
+	head header
+}
+
+// openDB opens a file. One that is there and can't be a file of records is an error that names it.
+func openDB(path string, readOnly bool) (*bbolt.DB, error) {
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType, ReadOnly: readOnly})
+	if errors.Is(err, bbolt.ErrTimeout) {
+		err = errInUse
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	db.AllocSize = growth
+	return db, nil
+}
+
+var errInUse = errors.New("in use by another process")
+
+// openFile opens the file of a folder, or makes one that knows nothing from before now.
+func openFile(path, name string, now keyed.Clock, wall int64) (f *file, made bool, err error) {
+	if _, err := os.Stat(path); errors.Is(err, fs.ErrNotExist) {
+		h := header{Format: format, ID: newID(), Name: name, Boot: now.Boot, Since: int64(now.Now), Wall: wall}
+		f, err := writeFile(path, h, nil)
+		return f, true, err
+	} else if err != nil {
+		return nil, false, err
+	}
+	db, err := openDB(path, false)
+	if err != nil {
+		return nil, false, err
+	}
+	f = &file{db: db, path: path}
+	if err = f.readHead(); err == nil && f.head.Name != name {
+		err = fmt.Errorf("%s: it is of the service %q, not of %q", path, f.head.Name, name)
+	}
+	if err != nil {
+		db.Close()
+		return nil, false, err
+	}
+	return f, false, nil
+}
+
+func (f *file) readHead() (err error) {
+	defer caught(&err)
+	return f.db.View(func(tx *bbolt.Tx) error {
+		m := tx.Bucket(bucketMeta)
+		if m == nil || tx.Bucket(bucketKeys) == nil {
+			return fmt.Errorf("%s: no file of records", f.path)
+		}
+		if err := json.Unmarshal(m.Get(keyMeta), &f.head); err != nil {
+			return fmt.Errorf("%s: its head: %w", f.path, err)
+		}
+		if f.head.Format != format {
+			return fmt.Errorf("%s: format %d, this build knows %d", f.path, f.head.Format, format)
+		}
+		return nil
+	})
+}
+
+// caught makes an error of what the library says by a panic where pages are not what they should be.
+func caught(err *error) {
+	if p := recover(); p != nil {
+		*err = fmt.Errorf("a file that can't be read: %v", p)
+	}
+}
+
+// op is one change of a file: a record's bytes, or none to take it off.
+type op struct {
+	seq   uint64
+	value []byte
+	off   bool
+	done  func(error) // nil: nobody waits
+}
+
+// commit makes changes, with a new head where that is not nil, and returns once they last. After an error nobody knows whether
+// they do.
+func (f *file) commit(ops []op, head *header) (err error) {
+	defer caught(&err)
+	if err := boundary("commit"); err != nil {
+		return err
+	}
+	err = f.db.Update(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(bucketKeys)
+		b.FillPercent = 0.9 // numbers rise
+		for _, o := range ops {
+			var err error
+			if o.off {
+				err = b.Delete(number(o.seq))
+			} else {
+				err = b.Put(number(o.seq), o.value)
+			}
+			if err != nil {
+				return err
+			}
+		}
+		if head != nil {
+			return putHead(tx, *head)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return boundary("committed")
+}
+
+func putHead(tx *bbolt.Tx, h header) error {
+	text, err := json.Marshal(h)
+	if err != nil {
+		return err
+	}
+	return tx.Bucket(bucketMeta).Put(keyMeta, text)
+}
+
+// last is the time of the newest record.
+func (f *file) last() (at time.Duration, err error) {
+	defer caught(&err)
+	err = f.db.View(func(tx *bbolt.Tx) error {
+		c := tx.Bucket(bucketKeys).Cursor()
+		for k, v := c.Last(); k != nil; k, v = c.Prev() {
+			if r, bad := decode(0, v); bad == nil {
+				at = r.At
+				return nil
+			}
+		}
+		return nil
+	})
+	return at, err
+}
+
+// each reads records in their order, some at a time, so that no reader holds pages for long. Those that can't be read come as
+// broken.
+func (f *file) each(some int, take func(list []keyed.Record, broken []uint64)) (err error) {
+	defer caught(&err)
+	for from, more := []byte{}, true; more; {
+		var list []keyed.Record
+		var broken []uint64
+		err := f.db.View(func(tx *bbolt.Tx) error {
+			c := tx.Bucket(bucketKeys).Cursor()
+			k, v := c.Seek(from)
+			for ; k != nil && len(list)+len(broken) < some; k, v = c.Next() {
+				if len(k) != 8 {
+					continue
+				}
+				seq := binary.BigEndian.Uint64(k)
+				if r, bad := decode(seq, v); bad == nil {
+					list = append(list, r)
+				} else {
+					broken = append(broken, seq)
+				}
+			}
+			if more = k != nil; more {
+				from = append([]byte(nil), k...)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		take(list, broken)
+	}
+	return nil
+}
+
+// setAside puts records that can't be read where they are not met again, as they are.
+func (f *file) setAside(broken []uint64) (err error) {
+	defer caught(&err)
+	return f.db.Update(func(tx *bbolt.Tx) error {
+		aside, err := tx.CreateBucketIfNotExists(bucketBroken)
+		if err != nil {
+			return err
+		}
+		keys := tx.Bucket(bucketKeys)
+		for _, seq := range broken {
+			if err := errors.Join(aside.Put(number(seq), append([]byte(nil), keys.Get(number(seq))...)), keys.Delete(number(seq))); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// count is the number of records.
+func (f *file) count() (n int, err error) {
+	defer caught(&err)
+	err = f.db.View(func(tx *bbolt.Tx) error {
+		n = tx.Bucket(bucketKeys).Stats().KeyN
+		return nil
+	})
+	return n, err
+}
+
+// size is the file's, in bytes.
+func (f *file) size() int64 {
+	s, err := os.Stat(f.path)
+	if err != nil {
+		return 0
+	}
+	return s.Size()
+}
+
+// writeFile writes a whole file beside its place, has it last and puts it there: whoever ends meanwhile leaves the old one.
+func writeFile(path string, h header, list func(put func(keyed.Record) error) error) (f *file, err error) {
+	next := path + ".next"
+	if err := boundary("rewrite"); err != nil {
+		return nil, err
+	}
+	if err := os.Remove(next); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	db, err := openDB(next, false)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			db.Close()
+		}
+	}()
+	db.NoSync = true
+	var waiting []keyed.Record
+	flush := func() error {
+		return db.Update(func(tx *bbolt.Tx) error {
+			m, err := tx.CreateBucketIfNotExists(bucketMeta)
+			if err != nil || m == nil {
+				return err
+			}
+			b, err := tx.CreateBucketIfNotExists(bucketKeys)
+			if err != nil {
+				return err
+			}
+			b.FillPercent = 0.9
+			for i := range waiting {
+				if err := b.Put(number(waiting[i].Seq), encode(&waiting[i])); err != nil {
+					return err
+				}
+			}
+			waiting = waiting[:0]
+			return putHead(tx, h)
+		})
+	}
+	if list != nil {
+		err = list(func(r keyed.Record) error {
+			if waiting = append(waiting, r); len(waiting) >= 4096 {
+				return flush()
+			}
+			return nil
+		})
+	}
+	for _, step := range []func() error{
+		flush,
+		func() error { return boundary("rewrite.written") },
+		db.Sync,
+		func() error { return boundary("rewrite.synced") },
+		func() error { return os.Rename(next, path) },
+		func() error { return boundary("rewrite.renamed") },
+		func() error { return syncDir(filepath.Dir(path)) },
+		func() error { return boundary("rewrite.done") },
+	} {
+		if err == nil {
+			err = step()
+		}
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	db.NoSync = false
+	return &file{db: db, path: path, head: h}, nil
+}
+
+func syncDir(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(lasting.Sync(dir), dir.Close())
+}
+
+// copyTo writes a copy of the file as it stands, which lasts once it is there.
+func (f *file) copyTo(path string) (err error) {
+	defer caught(&err)
+	if err := boundary("snapshot"); err != nil {
+		return err
+	}
+	next := path + ".next"
+	out, err := os.OpenFile(next, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	err = f.db.View(func(tx *bbolt.Tx) error {
+		_, err := tx.WriteTo(out)
+		return err
+	})
+	if err == nil {
+		err = boundary("snapshot.written")
+	}
+	if err == nil {
+		err = lasting.Sync(out)
+	}
+	if err = errors.Join(err, out.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(next, path); err != nil {
+		return err
+	}
+	return syncDir(filepath.Dir(path))
+}
--- /dev/null
+++ b/internal/store/offline.go
@@ -0,0 +1,229 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"silverpath/internal/keyed"
+)
+
+// Summary is what stands in a file of records.
+type Summary struct {
+	ID, Name string
+	Format   int
+	Whole    bool // every run that matters is in it
+	Clean    bool // its service closed it in good order
+	Here     bool // its times count from the machine's present start
+	Records  int
+	ByState  map[string]int
+	Bytes    int   // of records
+	File     int64 // of the file
+	Broken   int   // records that can't be read
+	Damage   []string
+}
+
+// Init makes the store of a service that has run no sheet that could come again.
+func Init(dir, name string) error {
+	return locked(dir, func(path string) error {
+		if _, err := os.Stat(path); !errors.Is(err, fs.ErrNotExist) {
+			return fmt.Errorf("%s: there is one already", path)
+		}
+		now := Now()
+		f, err := writeFile(path, header{Format: format, ID: newID(), Name: name, Boot: now.Boot, Since: int64(now.Now), Whole: true,
+			Wall: time.Now().UnixMilli(), Clean: true}, nil)
+		if err != nil {
+			return err
+		}
+		return f.db.Close()
+	})
+}
+
+// locked has a folder as one's own for a time.
+func locked(dir string, do func(path string) error) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	lock, err := lockDir(dir)
+	if err != nil {
+		return err
+	}
+	defer lock.Close()
+	return do(filepath.Join(dir, fileName))
+}
+
+// FileOf is the file of a store, by its folder; a file is its own.
+func FileOf(path string) string {
+	if s, err := os.Stat(path); err == nil && s.IsDir() {
+		return filepath.Join(path, fileName)
+	}
+	return path
+}
+
+// open opens a file that no service has open, to be read.
+func open(path string) (*file, error) {
+	if _, err := os.Stat(path); err != nil {
+		return nil, err
+	}
+	db, err := openDB(path, true)
+	if err != nil {
+		return nil, err
+	}
+	f := &file{db: db, path: path}
+	if err := f.readHead(); err != nil {
+		db.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Check reads a file whole.
+func Check(path string) (s Summary, err error) {
+	f, err := open(path)
+	if err != nil {
+		return s, err
+	}
+	defer f.db.Close()
+	s = Summary{ID: f.head.ID, Name: f.head.Name, Format: f.head.Format, Whole: f.head.Whole, Clean: f.head.Clean,
+		Here: f.head.Boot == Now().Boot, ByState: map[string]int{}, File: f.size()}
+	err = f.pages(func(damage error) { s.Damage = append(s.Damage, damage.Error()) })
+	if err == nil {
+		err = f.each(chunk, func(list []keyed.Record, broken []uint64) {
+			s.Broken += len(broken)
+			s.Records += len(list)
+			for i := range list {
+				s.ByState[list[i].State.String()]++
+				s.Bytes += list[i].Size()
+			}
+		})
+	}
+	if err != nil {
+		s.Damage = append(s.Damage, err.Error())
+	}
+	return s, nil
+}
+
+// pages walks the library's own structure.
+func (f *file) pages(damage func(error)) (err error) {
+	defer caught(&err)
+	return f.db.View(func(tx *bbolt.Tx) error {
+		for e := range tx.Check() {
+			damage(e)
+		}
+		return nil
+	})
+}
+
+// Dump hands over every record of a file, in the order of their promises.
+func Dump(path string, take func(keyed.Record) error) error {
+	f, err := open(path)
+	if err != nil {
+		return err
+	}
+	defer f.db.Close()
+	var bad error
+	err = f.each(chunk, func(list []keyed.Record, broken []uint64) {
+		for i := range list {
+			if bad == nil {
+				bad = take(list[i])
+			}
+		}
+		for _, seq := range broken {
+			bad = errors.Join(bad, fmt.Errorf("record %d can't be read", seq))
+		}
+	})
+	return errors.Join(err, bad)
+}
+
+// Compact writes the file of a folder anew, without the room that nobody uses.
+func Compact(dir string) (before, after int64, err error) {
+	err = locked(dir, func(path string) error {
+		f, err := open(path)
+		if err != nil {
+			return err
+		}
+		defer f.db.Close()
+		before = f.size()
+		next, err := f.rewrite(path, f.head, func(r keyed.Record) (keyed.Record, bool) { return r, true })
+		if err != nil {
+			return err
+		}
+		after = next.size()
+		return next.db.Close()
+	})
+	return before, after, err
+}
+
+// rewrite writes the records of a file into another one, by what change makes of each.
+func (f *file) rewrite(path string, h header, change func(keyed.Record) (keyed.Record, bool)) (*file, error) {
+	return writeFile(path, h, func(put func(keyed.Record) error) error {
+		var bad error
+		err := f.each(chunk, func(list []keyed.Record, broken []uint64) {
+			if len(broken) > 0 {
+				bad = errors.Join(bad, fmt.Errorf("%d records can't be read: a service sets them aside as it starts", len(broken)))
+			}
+			for _, r := range list {
+				if r, keep := change(r); keep && bad == nil {
+					bad = put(r)
+				}
+			}
+		})
+		return errors.Join(err, bad)
+	})
+}
+
+// Export copies the file of a store that no service has open.
+func Export(dir, to string) error {
+	if _, err := os.Stat(to); err == nil {
+		return fmt.Errorf("%s: there is something already", to)
+	}
+	f, err := open(FileOf(dir))
+	if err != nil {
+		return err
+	}
+	defer f.db.Close()
+	return f.copyTo(to)
+}
+
+// Import makes the store of a folder from a copy of another one. What the other ran since the copy was made is not in it: sheets
+// that are not known fail until that can't matter any more. Whole says that there is nothing such: the copy was made of a store
+// that its service had closed for good.
+func Import(from, dir, name string, whole bool) (records int, err error) {
+	f, err := open(FileOf(from))
+	if err != nil {
+		return 0, err
+	}
+	defer f.db.Close()
+	if whole && !(f.head.Clean && f.head.Whole) {
+		return 0, fmt.Errorf("%s: it is a copy of a store in use, and so not whole", from)
+	}
+	last, err := f.last()
+	if err != nil {
+		return 0, err
+	}
+	err = locked(dir, func(path string) error {
+		if _, err := os.Stat(path); !errors.Is(err, fs.ErrNotExist) {
+			return fmt.Errorf("%s: there is one already", path)
+		}
+		now := Now()
+		shift := f.head.meta().Shift(last, now)
+		next, err := f.rewrite(path, header{Format: format, ID: newID(), Name: name, Boot: now.Boot, Since: int64(now.Now), Whole: whole,
+			Wall: time.Now().UnixMilli(), Clean: true}, func(r keyed.Record) (keyed.Record, bool) {
+			r, keep := r.Recover(shift, now.Now)
+			if keep {
+				records++
+			}
+			return r, keep
+		})
+		if err != nil {
+			return err
+		}
+		return next.db.Close()
+	})
+	return records, err
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,588 @@
+// Package store keeps the runs of keyed requests on a disk, so that a restart neither runs one again nor forgets its result. The
+// records lie in a file of the library bbolt, which brings it whole through a loss of power; what may be done with them is
+// decided by the package keyed. One goroutine writes, and every commit serves all who wait for one.
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fastjson"
+	"golang.org/x/sys/unix"
+
+	"silverpath/internal/events"
+	"silverpath/internal/keyed"
+	"silverpath/internal/stats"
+)
+
+const (
+	chunk      = 1024 // records that are read at once
+	mostBatch  = 1024 // changes in one commit
+	sweepEvery = time.Second
+	sweepMost  = 8192
+	// anewEvery is how often it is tried to write all anew after a failure.
+	anewEvery = time.Second
+)
+
+// Keys is who acts on what is kept: the core. Times since the machine was switched on are turned into its own, and back, by at.
+type Keys interface {
+	// Restore takes up records that were found, in the order of their promises.
+	Restore(list []keyed.Record, at func(time.Duration) time.Time)
+	// Kept are all records as they stand, once nothing waits for the disk any more.
+	Kept(at func(time.Time) time.Duration) []keyed.Record
+	// Longest is how long after a run a try of it may come, for all classes.
+	LongestWindow() time.Duration
+}
+
+// Config sets up a store.
+type Config struct {
+	Dir    string
+	Name   string        // of the service: the folder of another one is not taken
+	Bytes  int           // of all records
+	Result int           // set aside for each result that is to come
+	Gather time.Duration // how long a commit waits for more that could go with it
+	Log    *log.Logger
+	Stats  *stats.Counters
+}
+
+// Unpromised has runs begin without a promise, in test programs only: the harm that the promise keeps away must then be found.
+var Unpromised bool
+
+// Store is an open store.
+type Store struct {
+	cfg    Config
+	keys   Keys
+	lock   *os.File
+	log    *log.Logger
+	stats  *stats.Counters
+	commit *stats.Timing
+	bell   chan struct{}
+	over   chan struct{} // closed once the writer has ended
+	loaded chan struct{} // closed once all is read
+
+	mu     sync.Mutex
+	ledger *keyed.Ledger
+	queue  []op
+	wall   int64 // of the head: since when all is known
+	closed bool
+
+	file  *file // the writer's, and the loader's before there is one
+	stale bool  // the file is not what was meant to be written
+}
+
+// Open opens the store of a folder, which is made where it is not there. Another process that has it, a file of another service
+// or build, and a folder that can't be written are errors that say so.
+func Open(cfg Config, keys Keys) (*Store, error) {
+	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	lock, err := lockDir(cfg.Dir)
+	if err != nil {
+		return nil, err
+	}
+	now := Now()
+	f, made, err := openFile(filepath.Join(cfg.Dir, fileName), cfg.Name, now, time.Now().UnixMilli())
+	if err != nil {
+		lock.Close()
+		return nil, err
+	}
+	s := &Store{
+		cfg: cfg, keys: keys, lock: lock, file: f, wall: f.head.Wall, log: cfg.Log, stats: cfg.Stats, commit: cfg.Stats.Timing("store_commit"),
+		bell: make(chan struct{}, 1), over: make(chan struct{}), loaded: make(chan struct{}),
+		ledger: keyed.NewLedger(keyed.Limits{Bytes: cfg.Bytes, Result: cfg.Result, Blind: keys.LongestWindow(), Retry: time.Second}),
+	}
+	if !made && f.head.Clean {
+		h := f.head
+		h.Clean = false // before anything else is written
+		if err := f.commit(nil, &h); err != nil {
+			f.db.Close()
+			lock.Close()
+			return nil, fmt.Errorf("%s: %w", f.path, err)
+		}
+		f.head = h
+	}
+	return s, nil
+}
+
+// lockDir makes a folder one process's own.
+func lockDir(dir string) (*os.File, error) {
+	lock, err := os.OpenFile(filepath.Join(dir, lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	for end := time.Now().Add(lockWait); ; time.Sleep(lockWait / 10) {
+		err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+		if err == nil {
+			return lock, nil
+		}
+		if !errors.Is(err, unix.EWOULDBLOCK) || time.Now().After(end) {
+			lock.Close()
+			if errors.Is(err, unix.EWOULDBLOCK) {
+				err = errInUse
+			}
+			return nil, fmt.Errorf("%s: %w", dir, err)
+		}
+	}
+}
+
+// since is a time as the machine's clock has it.
+func since(t time.Time) time.Duration { return Now().Now - time.Since(t) }
+
+// at is the time of the wall clock, and of this process, at a time of the machine's clock.
+func at(now time.Duration) func(time.Duration) time.Time {
+	wall := time.Now()
+	return func(d time.Duration) time.Time { return wall.Add(d - now) }
+}
+
+// ---- What the core asks ----
+
+// Since tells, in Unix milliseconds, from when on every run is known here: a restart that forgets nothing does not change it.
+func (s *Store) Since() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wall
+}
+
+// Begins is what becomes of a new sheet that has so much time.
+func (s *Store) Begins(left time.Duration) keyed.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Begins(Now().Now, left)
+}
+
+// Promise has a run promised, or says why not. Done is told once the promise lasts, or that it is not known to.
+func (s *Store) Promise(r *keyed.Record, reached, until time.Time, left time.Duration, done func(error)) keyed.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.Reached, r.Until = since(reached), since(until)
+	v := s.ledger.Promise(r, Now().Now, left)
+	if v.Do != keyed.Begin {
+		return v
+	}
+	seq := r.Seq
+	if Unpromised {
+		go done(nil)
+		return v
+	}
+	s.put(op{seq: seq, value: encode(r), done: func(err error) {
+		if err == nil {
+			s.mu.Lock()
+			s.ledger.Lasts(seq)
+			s.mu.Unlock()
+		}
+		done(err)
+	}})
+	return v
+}
+
+// Mark has it kept that a key runs elsewhere. Done is told once that lasts.
+func (s *Store) Mark(r *keyed.Record, until time.Time, done func(error)) keyed.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.Until = since(until)
+	r.Reached = r.Until
+	v := s.ledger.Mark(r, Now().Now)
+	if v.Do == keyed.Begin {
+		s.put(op{seq: r.Seq, value: encode(r), done: done})
+	}
+	return v
+}
+
+// Result has a result kept. Done is told once it lasts. One that does not is as none: every repeat fails.
+func (s *Store) Result(r *keyed.Record, reached, until time.Time, done func(error)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.State, r.At, r.Reached, r.Until = keyed.Done, Now().Now, since(reached), since(until)
+	seq, size := r.Seq, len(r.Result)
+	s.put(op{seq: seq, value: encode(r), done: func(err error) {
+		s.mu.Lock()
+		if err == nil {
+			s.ledger.Result(seq, keyed.Done, size)
+		} else {
+			s.ledger.Result(seq, keyed.Failed, 0)
+		}
+		s.mu.Unlock()
+		done(err)
+	}})
+}
+
+// Failed notes that a run has ended without a result. On the disk that is what a promise alone says.
+func (s *Store) Failed(seq uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Result(seq, keyed.Failed, 0)
+}
+
+// Withdraw notes that a run never began.
+func (s *Store) Withdraw(seq uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ledger.Withdraw(seq) {
+		s.put(op{seq: seq, off: true})
+	}
+}
+
+// put queues a change, under the lock.
+func (s *Store) put(o op) {
+	s.queue = append(s.queue, o)
+	select {
+	case s.bell <- struct{}{}:
+	default:
+	}
+}
+
+// ---- Reading all ----
+
+// Keep reads what is there and then writes, until Close.
+func (s *Store) Keep(context.Context) {
+	defer close(s.over)
+	s.load()
+	close(s.loaded)
+	s.write()
+}
+
+// load reads all records, and hands them over as it goes.
+func (s *Store) load() {
+	began := time.Now()
+	f := s.file
+	n, err := f.count()
+	last := time.Duration(0)
+	if err == nil {
+		last, err = f.last()
+	}
+	now := Now()
+	shift := f.head.meta().Shift(last, now)
+	s.mu.Lock()
+	s.ledger.Expect(n)
+	s.mu.Unlock()
+	var gone, broken []uint64
+	if err == nil {
+		err = f.each(chunk, func(list []keyed.Record, bad []uint64) {
+			boundary("loading")
+			broken = append(broken, bad...)
+			kept := list[:0]
+			s.mu.Lock()
+			for _, r := range list {
+				r, matters := r.Recover(shift, now.Now)
+				if !matters {
+					gone = append(gone, r.Seq)
+					continue
+				}
+				s.ledger.Load(&r)
+				kept = append(kept, r)
+			}
+			s.mu.Unlock()
+			s.keys.Restore(kept, at(Now().Now))
+		})
+	}
+	h := f.head
+	blind := time.Duration(0)
+	if !h.Whole {
+		blind = time.Duration(h.Since) + shift + s.keys.LongestWindow()
+	}
+	if err != nil || len(broken) > 0 {
+		why := fmt.Sprintf("%d records can't be read", len(broken))
+		if err != nil {
+			why = err.Error()
+		}
+		s.stats.Inc("store", "damaged")
+		events.Say(s.log, "store.damaged", why)
+		h.Whole, h.Since, h.Wall = false, int64(now.Now), time.Now().UnixMilli()
+		blind = now.Now + s.keys.LongestWindow()
+	} else if shift != 0 {
+		h.Since += int64(shift)
+	}
+	h.Boot = now.Boot
+	s.mu.Lock()
+	s.wall = h.Wall
+	s.mu.Unlock()
+	switch {
+	case err != nil:
+		s.stale = true // what could be read of it is written anew, and the file itself set aside
+		aside := fmt.Sprintf("%s.damaged-%d", f.path, time.Now().UnixNano())
+		if err := os.Link(f.path, aside); err != nil {
+			events.Say(s.log, "store.failed", err)
+		}
+	case len(broken) > 0:
+		s.stale = f.setAside(broken) != nil
+	}
+	f.head = h
+	// Times that count from another switching on are written as they count now before any new one joins them; so is a head that
+	// has changed.
+	for s.stale || shift != 0 {
+		if s.anew() {
+			break
+		}
+		if s.pause(anewEvery) {
+			return
+		}
+		s.stale = true
+	}
+	s.mu.Lock()
+	s.ledger.Loaded(Now().Now, blind)
+	if s.closed {
+		s.ledger.Close()
+	}
+	for _, seq := range gone {
+		s.queue = append(s.queue, op{seq: seq, off: true})
+	}
+	live := s.ledger.View(Now().Now).Live
+	s.mu.Unlock()
+	s.stats.Set(uint64(time.Since(began).Milliseconds()), "store", "load_ms")
+	events.Say(s.log, "store.loaded", live, time.Since(began).Round(time.Millisecond), shift != 0)
+	if left := blind - Now().Now; left > 0 {
+		events.Say(s.log, "store.blind", left.Round(time.Second))
+	}
+}
+
+// pause waits, and reports whether the store was closed meanwhile.
+func (s *Store) pause(d time.Duration) bool {
+	time.Sleep(d)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// Loaded is closed once all is read.
+func (s *Store) Loaded() <-chan struct{} { return s.loaded }
+
+// ---- Writing ----
+
+// write commits what is queued, and what is past its time, until Close.
+func (s *Store) write() {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	tried := time.Time{}
+	for {
+		select {
+		case <-s.bell:
+		case <-tick.C:
+			s.sweep()
+		}
+		if s.cfg.Gather > 0 {
+			s.mu.Lock()
+			more := len(s.queue) < mostBatch && !s.closed
+			s.mu.Unlock()
+			if more {
+				time.Sleep(s.cfg.Gather)
+			}
+		}
+		for s.one(&tried) {
+		}
+		s.mu.Lock()
+		done := s.closed && len(s.queue) == 0
+		s.mu.Unlock()
+		if done {
+			s.last()
+			return
+		}
+	}
+}
+
+// one commits one batch. It reports whether there may be more.
+func (s *Store) one(tried *time.Time) bool {
+	s.mu.Lock()
+	n := min(len(s.queue), mostBatch)
+	batch := s.queue[:n:n]
+	s.queue = s.queue[n:]
+	head := s.headNow()
+	closed := s.closed
+	s.mu.Unlock()
+	if s.stale && (closed || time.Since(*tried) >= anewEvery) {
+		*tried = time.Now()
+		if s.anew() {
+			s.mu.Lock()
+			s.ledger.Anew()
+			s.mu.Unlock()
+			events.Say(s.log, "store.anew")
+		}
+	}
+	if n == 0 && head == nil {
+		return false
+	}
+	err := errStale
+	if !s.stale {
+		began := time.Now()
+		err = s.file.commit(batch, head)
+		took := time.Since(began)
+		s.commit.Record(took)
+		s.mu.Lock()
+		s.ledger.Committed(Now().Now, took)
+		news := err != nil && s.ledger.Failed()
+		s.mu.Unlock()
+		if err != nil {
+			s.stale = true
+			s.stats.Inc("store", "failures")
+			if news {
+				events.Say(s.log, "store.failed", err)
+			}
+		} else {
+			s.stats.Inc("store", "commits")
+			s.stats.Add(uint64(n), "store", "changes")
+			if head != nil {
+				s.file.head = *head
+			}
+		}
+	}
+	for _, o := range batch {
+		if o.done != nil {
+			o.done(err)
+		}
+	}
+	if err == nil {
+		s.crowded()
+	}
+	return n > 0
+}
+
+// errStale is what who waits is told while what was written last is not known to last.
+var errStale = errors.New("the store failed, and is written anew")
+
+// headNow is the head that is to be written with the next batch, nil for the one that there is. It is called under the lock.
+func (s *Store) headNow() *header {
+	if !s.ledger.Whole(Now().Now) {
+		return nil
+	}
+	h := s.file.head
+	h.Whole = true
+	return &h
+}
+
+// anew writes all that is known into a new file, which takes the place of the one of which nobody knows what lasts.
+func (s *Store) anew() bool {
+	old := s.file
+	list := s.keys.Kept(since)
+	f, err := writeFile(old.path, old.head, func(put func(keyed.Record) error) error {
+		for _, r := range list {
+			if err := put(r); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		s.stats.Inc("store", "not_anew")
+		return false
+	}
+	old.db.Close()
+	s.file, s.stale = f, false
+	s.stats.Inc("store", "anew")
+	return true
+}
+
+// crowded writes the file anew where most of it is room that nobody uses.
+func (s *Store) crowded() {
+	s.mu.Lock()
+	crowded := s.ledger.Crowded(s.file.size())
+	s.mu.Unlock()
+	if crowded && !s.anew() {
+		s.stale = true
+		s.mu.Lock()
+		s.ledger.Failed()
+		s.mu.Unlock()
+	}
+}
+
+// sweep forgets what is past its time.
+func (s *Store) sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, seq := range s.ledger.Sweep(Now().Now, sweepMost) {
+		s.queue = append(s.queue, op{seq: seq, off: true})
+	}
+	v := s.ledger.View(Now().Now)
+	s.stats.Set(uint64(v.Live), "store", "live")
+	s.stats.Set(uint64(v.Bytes), "store", "bytes")
+}
+
+// Close writes what is queued and gives the folder up.
+func (s *Store) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.ledger.Close()
+	s.mu.Unlock()
+	select {
+	case s.bell <- struct{}{}:
+	default:
+	}
+	<-s.over
+}
+
+// Abandon gives up a store that nobody keeps: the service did not come to run.
+func (s *Store) Abandon() {
+	s.file.db.Close()
+	s.lock.Close()
+}
+
+func (s *Store) last() {
+	if !s.stale {
+		h := s.file.head
+		h.Clean = true
+		if err := s.file.commit(nil, &h); err != nil {
+			events.Say(s.log, "store.failed", err)
+		}
+	}
+	s.file.db.Close()
+	s.lock.Close()
+}
+
+// ---- What operators see ----
+
+// Snapshot writes a copy into the store's folder while it serves, and returns its path. It waits for the disk.
+func (s *Store) Snapshot() (string, error) {
+	type turn struct {
+		file *file
+		err  error
+	}
+	turns := make(chan turn, 1)
+	dir := filepath.Join(s.cfg.Dir, "snapshots")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "keys-"+time.Now().UTC().Format("20060102T150405.000000")+".db")
+	// The writer's turn: what was promised before is in it. The copy is made beside further commits.
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return "", errors.New("the store is closed")
+	}
+	s.put(op{off: true, done: func(err error) { turns <- turn{s.file, err} }})
+	s.mu.Unlock()
+	t := <-turns
+	if t.err != nil {
+		return "", t.err
+	}
+	return path, t.file.copyTo(path)
+}
+
+// View is the store as it stands.
+func (s *Store) View() keyed.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.View(Now().Now)
+}
+
+// Status is the view as JSON.
+func (s *Store) Status() []byte {
+	v := s.View()
+	var a fastjson.Arena
+	o := a.NewObject()
+	o.Set("phase", a.NewString(v.Phase.String()))
+	known := a.NewFalse()
+	if v.Known {
+		known = a.NewTrue()
+	}
+	o.Set("known", known)
+	for name, n := range map[string]int{"live": v.Live, "bytes": v.Bytes, "reserved": v.Reserved, "limit": v.Limit, "loaded": v.Loaded,
+		"expected": v.Expected, "pace_us": int(v.Pace.Microseconds())} {
+		o.Set(name, a.NewNumberString(strconv.Itoa(n)))
+	}
+	return o.MarshalTo(nil)
+}
