Disks that fail, stall and fill up, copies, and moved keys: each shown by processes

A sheet is refused before it runs where its promise does not last (10 of 10), fails where its result does not, then and after a restart; commits of 0.4 s have sheets of 0.9 s refused. A killed home that keeps its runs has sheets begin within 0.7 s, without a store none. Found by its test: the result of a failed write could come back after a restart though it had been answered failed.

--- a/cmd/silverpath/durable_test.go
+++ b/cmd/silverpath/durable_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -14,8 +16,11 @@
 	"time"
 
 	"silverpath/internal/ask"
+	"silverpath/internal/core"
 	"silverpath/internal/keyed"
 	"silverpath/internal/lab"
+	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/standin"
 	"silverpath/internal/store"
 )
 
@@ -62,8 +67,9 @@
 type durable struct {
 	*lab.Shared
 	t     *testing.T
-	dir   string // the store's
-	fault string // the file that says how the disk fails
+	dir   string        // the store's
+	span  time.Duration // tries of one sheet may be so far apart
+	fault string        // the file that says how the disk fails
 }
 
 func newDurable(t *testing.T, env ...string) *durable {
@@ -75,12 +81,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &durable{t: t, dir: filepath.Join(t.TempDir(), "keys"), fault: filepath.Join(t.TempDir(), "fault")}
+	d := &durable{t: t, span: 10 * time.Second, dir: filepath.Join(t.TempDir(), "keys"), fault: filepath.Join(t.TempDir(), "fault")}
 	d.Shared = lab.Inherit(t, exe, append([]string{"SILVERPATH_RUN=1", "SILVERPATH_STORE=" + d.fault}, env...), false)
 	d.Wait = 900 * time.Millisecond
 	d.Args = []string{"--edge", write(t, "edge.json", fmt.Sprintf(`{"store":{"dir":%q,"size_mb":8}}`, d.dir))}
 	d.Edit = func(text string) string {
-		return strings.NewReplacer(`"deadline":4400000`, `"deadline":1000000`, `"target":1800000`, `"target":900000`).Replace(text)
+		return strings.NewReplacer(`"deadline":4400000`, `"deadline":1000000`, `"target":1800000`, `"target":900000`,
+			`"memory_span":2000000`, fmt.Sprintf(`"memory_span":%d`, d.span.Microseconds())).Replace(text)
 	}
 	if err := store.Init(d.dir, "lab"); err != nil {
 		t.Fatal(err)
@@ -255,3 +262,349 @@
 		})
 	}
 }
+
+// A disk that is full or fails: a new sheet is refused before it runs, what is known is answered, and the service goes on by
+// itself once the disk is well. A sheet whose result was not known to last fails, then and after a restart.
+func TestDiskFails(t *testing.T) {
+	t.Parallel()
+	for _, at := range []string{"commit no space left on device", "committed input/output error", "* input/output error"} {
+		t.Run(at, func(t *testing.T) {
+			t.Parallel()
+			d := newDurable(t)
+			g := d.up()
+			served := d.serve("before", 5)
+			d.disk(at)
+			refused := 0
+			for i := range 10 {
+				key := fmt.Sprintf("during-%d", i)
+				if a := d.ask(key, key); a.Outcome == "refused" {
+					refused++
+				} else if a.Outcome == "served" {
+					t.Errorf("%s was served by a disk that fails", key)
+				}
+			}
+			if refused != 10 {
+				t.Errorf("%d of 10 new sheets were refused", refused)
+			}
+			for body := range d.Runs() {
+				if strings.HasPrefix(body, "during") {
+					t.Errorf("%s was refused and ran", body)
+				}
+			}
+			if w := d.again(served); len(w) > 0 {
+				t.Error(w)
+			}
+			d.disk("")
+			for end := time.Now().Add(5 * time.Second); d.ask("well", "well").Outcome != "served"; time.Sleep(50 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("it does not begin again:\n%s", g.Log())
+				}
+			}
+			for key, body := range d.serve("after", 5) {
+				served[key] = body
+			}
+			g.Kill()
+			d.up()
+			if w := d.again(served); len(w) > 0 {
+				t.Error("after a restart:", w)
+			}
+		})
+	}
+}
+
+// The disk fails between a run and its answer: the sheet has run, so it is not refused; it fails, and fails after a restart too.
+func TestResultIsLost(t *testing.T) {
+	t.Parallel()
+	d := newDurable(t)
+	d.up().Kill()
+	// The promise is the second commit of a start: the first says that the store is in use.
+	g := d.up()
+	done := make(chan ask.Reply)
+	d.disk("commit 60ms") // so that the promise is under way for long enough
+	go func() { done <- d.ask("k", "k") }()
+	for d.Runs()["k"] == 0 {
+		time.Sleep(100 * time.Microsecond)
+	}
+	d.disk("commit input/output error")
+	if a := <-done; a.Outcome == "served" || a.Outcome == "refused" {
+		t.Errorf("its result does not last: %s", a.Outcome)
+	}
+	if a := d.ask("k", "k"); a.Outcome == "served" || a.Outcome == "refused" {
+		t.Errorf("its repeat: %s", a.Outcome)
+	}
+	g.Kill()
+	d.disk("")
+	d.up()
+	if a := d.ask("k", "k"); a.Outcome == "served" || a.Outcome == "refused" || d.Runs()["k"] != 1 {
+		t.Errorf("after a restart: %s, %d runs", a.Outcome, d.Runs()["k"])
+	}
+}
+
+// A slow disk: sheets are served as long as their results last in time, and refused before they run where they would not.
+func TestDiskIsSlow(t *testing.T) {
+	t.Parallel()
+	d := newDurable(t)
+	d.up()
+	d.disk("commit 20ms")
+	d.serve("slow", 10)
+	d.disk("commit 400ms")
+	count := map[string]int{}
+	for i := range 12 {
+		key := fmt.Sprintf("stalled-%d", i)
+		a := d.ask(key, key)
+		count[a.Outcome]++
+		if a.Outcome == "refused" && d.Runs()[key] > 0 {
+			t.Errorf("%s ran and was refused", key)
+		}
+	}
+	if count["refused"] < 4 || count["lost"] > 0 {
+		t.Errorf("commits of 0.4 s for sheets of 0.9 s: %v", count)
+	}
+	d.disk("")
+	time.Sleep(2500 * time.Millisecond) // until it is forgotten
+	d.serve("well", 5)
+}
+
+// A thousand repeats of one key at once after a restart get the one result; the same key with another body gets none; a result
+// of the largest size is kept.
+func TestRepeatsAfterARestart(t *testing.T) {
+	t.Parallel()
+	d := newDurable(t)
+	g := d.up()
+	served := d.serve("one", 1)
+	large := strings.Repeat("x", 2<<10) // the wire holds no more
+	a := d.ask("large", large)
+	if a.Outcome != "served" || len(a.Body) < len(large) {
+		t.Fatalf("%s, %d bytes", a.Outcome, len(a.Body))
+	}
+	g.Kill()
+	d.up()
+	var all sync.WaitGroup
+	var wrong atomic.Int64
+	var conns []*ask.Conn
+	for range 40 {
+		conn, err := ask.Dial(d.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	for i := range 1000 {
+		all.Go(func() {
+			a := <-conns[i%len(conns)].Ask(ask.Request{Class: "oddaja", Key: "one-0", Body: []byte("one-0"), Wait: d.Wait, ID: fmt.Sprintf("%016x", i)})
+			if a.Outcome != "served" || string(a.Body) != served["one-0"] {
+				wrong.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	if n := wrong.Load(); n > 0 || d.Runs()["one-0"] != 1 {
+		t.Errorf("%d of 1000 repeats got something else, %d runs", n, d.Runs()["one-0"])
+	}
+	if b := d.ask("large", large); b.Outcome != "served" || string(b.Body) != string(a.Body) {
+		t.Errorf("the large one: %s, %d bytes", b.Outcome, len(b.Body))
+	}
+	if b := d.ask("one-0", "another"); b.Outcome == "served" || d.Runs()["another"] != 0 {
+		t.Errorf("another body under the key: %s %s", b.Outcome, b.Body)
+	}
+}
+
+// What a start can't do with is one line and a non-zero exit: a folder that another process has, a store of another service, one
+// of a build to come, one that is no store, and a place that is no folder.
+func TestStoresThatAreTurnedDown(t *testing.T) {
+	t.Parallel()
+	d := newDurable(t)
+	d.up()
+	other, torn, none := t.TempDir(), t.TempDir(), write(t, "file", "x")
+	if err := store.Init(other, "somebody"); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(torn, "keys.db"), []byte(strings.Repeat("torn", 9000)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	future := t.TempDir()
+	if err := store.InitFormat(future, "n1", 2); err != nil {
+		t.Fatal(err)
+	}
+	for dir, want := range map[string]string{
+		d.dir: "in use by another process", other: `it is of the service "somebody", not of "n1"`, torn: "keys.db: invalid database",
+		future: "format 2, this build knows 1", none: "not a directory",
+	} {
+		edge := write(t, "edge.json", fmt.Sprintf(`{"store":{"dir":%q}}`, dir))
+		code, _, message := run(t, siteFile(t, "n1", "127.0.0.1:1"), "serve", "--edge", edge)
+		if line := strings.TrimSpace(message); code != 1 || !strings.Contains(line, want) || !strings.HasPrefix(line, "silverpath: store.dir: ") || strings.Contains(line, "\n") {
+			t.Errorf("%s: exit code %d, %q", want, code, message)
+		}
+	}
+}
+
+// A copy that was made under load starts another server: it answers what is in it, and what is not may have run since, so it
+// fails until that can't matter. The commands say what stands in it.
+func TestCopyStartsAnotherServer(t *testing.T) {
+	t.Parallel()
+	d := newDurable(t)
+	d.span = 2 * time.Second
+	g := d.up()
+	served := d.serve("before", 5)
+	l := d.Load(4, 1, 30*time.Millisecond, 3)
+	time.Sleep(200 * time.Millisecond)
+	code, path, message := run(t, "", "store", "export", "--mgmt", g.Mgmt)
+	path = strings.TrimSpace(path)
+	if code != 0 {
+		t.Fatal(message)
+	}
+	time.Sleep(100 * time.Millisecond)
+	if w := l.End(); len(w) > 0 {
+		t.Error(w)
+	}
+	late := d.serve("late", 1)
+	g.Kill()
+	if code, out, message := run(t, "", "store", "check", "--dir", path); code != 0 || !strings.Contains(out, "store ") || !strings.Contains(out, "done: ") {
+		t.Errorf("check: %d %q %q", code, out, message)
+	}
+	if code, out, _ := run(t, "", "store", "dump", "--dir", path); code != 0 || !strings.Contains(out, `"state":"done"`) || strings.Contains(out, "oddaja: ") {
+		t.Errorf("dump: %d %q", code, out)
+	}
+	if code, _, message := run(t, "", "store", "import", "--from", path, "--dir", filepath.Join(t.TempDir(), "x"), "--name", "lab", "--whole"); code != 1 || !strings.Contains(message, "not whole") {
+		t.Errorf("a copy of a store in use taken for whole: %d %q", code, message)
+	}
+	d.dir = filepath.Join(t.TempDir(), "other")
+	if code, out, message := run(t, "", "store", "import", "--from", path, "--dir", d.dir, "--name", "lab"); code != 0 {
+		t.Fatal(out, message)
+	}
+	d.Args = []string{"--edge", write(t, "edge.json", fmt.Sprintf(`{"store":{"dir":%q,"size_mb":8}}`, d.dir))}
+	g = d.up()
+	if w := d.again(served); len(w) > 0 {
+		t.Error(w)
+	}
+	for key := range late {
+		if a := d.ask(key, key); a.Outcome != "failed" {
+			t.Errorf("%s ran after the copy was made: %s", key, a.Outcome)
+		}
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		if a := d.ask("new", "new"); a.Outcome == "served" {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("new sheets still fail:\n%s", g.Log())
+		}
+	}
+	g.Leave(t)
+	if code, out, message := run(t, "", "store", "compact", "--dir", d.dir); code != 0 || !strings.Contains(out, "KB, were") {
+		t.Errorf("compact: %d %q %q", code, out, message)
+	}
+	to := filepath.Join(t.TempDir(), "copy.db")
+	if code, _, message := run(t, "", "store", "export", "--dir", d.dir, "--to", to); code != 0 {
+		t.Error(message)
+	}
+	if code, out, message := run(t, "", "store", "check", "--dir", to); code != 0 || !strings.Contains(out, "whole: true, closed in good order: true") {
+		t.Errorf("check: %d %q %q", code, out, message)
+	}
+}
+
+// A cell whose servers keep their runs: one is killed and comes back, and its router has sheets begin there at once, as it knows
+// all that it ran. Without a store they fail for their window.
+func TestHomeThatKeepsItsRuns(t *testing.T) {
+	t.Parallel()
+	for _, keeps := range []bool{true, false} {
+		t.Run(fmt.Sprint(keeps), func(t *testing.T) {
+			t.Parallel()
+			f := newFleetWith(t, sheetWindow, `{"cell":true}`)
+			name := f.names[0]
+			edge := `{"cell":true}`
+			if keeps {
+				dir := t.TempDir()
+				if err := store.Init(dir, name); err != nil {
+					t.Fatal(err)
+				}
+				edge = fmt.Sprintf(`{"cell":true,"store":{"dir":%q,"size_mb":8}}`, dir)
+			}
+			restart := func() {
+				f.servers[name].Kill()
+				f.servers[name] = spawn(t, "serve", "--config", f.files[name], "--edge", write(t, "cell.json", edge))
+			}
+			restart()
+			f.Map.Servers = f.Map.Servers[:1] // alone in its cell
+			f.Map.Servers[0].Addr = f.servers[name].addr
+			f.Map.Servers[0].From = time.Now().Add(-time.Minute).UnixMilli()
+			f.Map.Cells = f.Map.Cells[:1]
+			r := f.route("r1", f.write(f.Map), "")
+			for end := time.Now().Add(8 * time.Second); toAll(1, fmt.Sprint("first", time.Now().UnixNano()), r)["served"] == 0; {
+				if time.Now().After(end) {
+					t.Fatal("nothing is served")
+				}
+			}
+			if got := toAll(10, "before", r); got["served"] != 10 {
+				t.Fatalf("before: %v", got)
+			}
+			listen := f.servers[name].addr
+			f.servers[name].Kill()
+			f.servers[name] = spawn(t, "serve", "--config", f.files[name], "--edge", write(t, "cell.json", edge), "--listen", listen)
+			served, began := 0, time.Now()
+			for time.Since(began) < 700*time.Millisecond {
+				served += toAll(2, fmt.Sprint("after", time.Now().UnixNano()), r)["served"]
+				time.Sleep(20 * time.Millisecond)
+			}
+			if keeps && served == 0 || !keeps && served > 0 {
+				t.Errorf("%d sheets began within 0.7 s of a window of 2 s", served)
+			}
+			// By another router, as the first has the results itself.
+			if got := toAll(10, "before", f.route("r2", f.write(f.Map), "")); keeps && got["served"] != 10 || !keeps && got["failed"] != 10 {
+				t.Errorf("repeats: %v", got)
+			}
+			if n := twice(f.ran()); n > 0 {
+				t.Errorf("%d ran twice", n)
+			}
+		})
+	}
+}
+
+// A router asked a former home for a sheet and ran it elsewhere. The former home is killed and comes back: it still does not run
+// it, though the sheet now comes by a router of older rules.
+func TestMovedKeyOutlivesTheProcess(t *testing.T) {
+	t.Parallel()
+	m, err := standin.Listen(standin.Config{Listen: "127.0.0.1:0", Cores: 8, Shape: standin.Shape{Knee: 8, Speed: 1}, Audit: true,
+		Other: standin.Class{Least: time.Millisecond, Most: time.Millisecond}, RunFactor: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	dir := t.TempDir()
+	if err := store.Init(dir, "s1"); err != nil {
+		t.Fatal(err)
+	}
+	args := []string{"serve", "--config", siteFile(t, "s1", m.Addr()),
+		"--edge", write(t, "edge.json", fmt.Sprintf(`{"cell":true,"store":{"dir":%q,"size_mb":8}}`, dir))}
+	send := func(p *process, known bool) msgpackrpc.Reply {
+		conn, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(2 * time.Second))
+		fields := []string{"i", fmt.Sprint(time.Now().UnixNano()), "k", "k", "s", strconv.FormatInt(time.Now().UnixMilli(), 10), "d", "900", "m", "1"}
+		if known {
+			fields = append(fields, "n", "1")
+		}
+		conn.Write(msgpackrpc.AppendRequest(nil, 1, "oddaja", []byte("k"), fields...))
+		for in := bufio.NewReader(conn); ; {
+			if r, err := msgpackrpc.ReadReply(in); err != nil || r.Notification == "" {
+				return r
+			}
+		}
+	}
+	p := spawn(t, args...)
+	if r := send(p, true); r.Fields["x"] != core.WhyUnknown {
+		t.Fatalf("asked for: %+v", r)
+	}
+	p.Kill()
+	p = spawn(t, args...)
+	if _, err := p.Await(5*time.Second, 0, "taken up"); err != nil {
+		t.Fatal(err)
+	}
+	if r := send(p, false); r.Error == "" || m.Runs()["k"] > 0 {
+		t.Errorf("it was asked for here, and ran elsewhere: %+v, %d runs", r, m.Runs()["k"])
+	}
+}
--- a/internal/core/keep.go
+++ b/internal/core/keep.go
@@ -112,6 +112,9 @@
 			events.Say(c.log, "store.result_lost", t.Class, t.ID, err)
 			c.stats.Inc("store", "result_lost")
 			s.outcome, s.data = silverpath.Failed, nil
+			c.mu.Lock()
+			f.saving = nil // before all is written anew
+			c.mu.Unlock()
 		}
 		c.tell(t.ID, s)
 	})
--- a/internal/store/file.go
+++ b/internal/store/file.go
@@ -24,8 +24,8 @@
 	format = 1
 	// growth is by how many bytes the file grows.
 	growth = 1 << 20
-	// lockWait is how long a process waits for another one that has the file.
-	lockWait = 200 * time.Millisecond
+	// lockWait is how long a process waits for another one that has the file: one that was killed may take a while to be gone.
+	lockWait = 2 * time.Second
 	// mostRecord bounds a record that is read: more than a runner can bring.
 	mostRecord = 4 << 20
 )
--- a/internal/store/offline.go
+++ b/internal/store/offline.go
@@ -227,3 +227,16 @@
 	})
 	return records, err
 }
+
+// InitFormat makes a store as a build of another format would, for tests.
+func InitFormat(dir, name string, version int) error {
+	if err := Init(dir, name); err != nil {
+		return err
+	}
+	db, err := openDB(filepath.Join(dir, fileName), false)
+	if err != nil {
+		return err
+	}
+	defer db.Close()
+	return db.Update(func(tx *bbolt.Tx) error { return putHead(tx, header{Format: version, Name: name}) })
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for end := time.Now().Add(lockWait); ; time.Sleep(lockWait / 10) {
+	for end := time.Now().Add(lockWait); ; time.Sleep(lockWait / 100) {
 		err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB)
 		if err == nil {
 			return lock, nil
