--- a/internal/keyed/ledger.go
+++ b/internal/keyed/ledger.go
@@ -21,7 +21,6 @@
 type Limits struct {
 	Bytes  int           // of all records, results to come included
 	Result int           // set aside for a result that is to come; a larger one is kept all the same
-	Blind  time.Duration // how long after a run a repeat of it may come, for all classes
 	Retry  time.Duration // how long who is refused stays away, where nothing tells better
 }
 
@@ -90,11 +89,6 @@
 	l.phase, l.blind, l.known = Open, blind, now >= blind
 }
 
-// Damaged is told that something could not be read: from now on it is as if all before now were unknown.
-func (l *Ledger) Damaged(now time.Duration) {
-	l.known, l.blind = false, now+l.limits.Blind
-}
-
 // Whole reports, once, that every run that matters is known from now on.
 func (l *Ledger) Whole(now time.Duration) bool {
 	if l.known || l.phase == Loading || now < l.blind {
@@ -107,7 +101,9 @@
 // ---- Admission ----
 
 // Begins is what becomes of a new sheet that has so much time.
-func (l *Ledger) Begins(now, left time.Duration) Verdict {
+func (l *Ledger) Begins(now, left time.Duration) Verdict { return l.begins(now, left, overhead) }
+
+func (l *Ledger) begins(now, left time.Duration, size int) Verdict {
 	// What may have run is never refused: that would tell its caller that it has not.
 	switch {
 	case l.phase == Loading:
@@ -117,7 +113,7 @@
 	case l.phase != Open:
 		return Verdict{Refuse, WhyFailing, l.retry(0)}
 	}
-	if l.used+l.reserved+overhead+l.limits.Result > l.limits.Bytes {
+	if l.used+l.reserved+size+l.limits.Result > l.limits.Bytes {
 		return Verdict{Refuse, WhyFull, l.space(now)}
 	}
 	if pace := l.Pace(now); time.Duration(legs)*pace > time.Duration(patienceShare*float64(left)) {
@@ -148,7 +144,7 @@
 
 // Promise takes a new sheet in, or says why not. Its number is the record's.
 func (l *Ledger) Promise(r *Record, now, left time.Duration) Verdict {
-	v := l.Begins(now, left)
+	v := l.begins(now, left, r.Size())
 	if v.Do != Begin {
 		return v
 	}
@@ -277,14 +273,6 @@
 	return View{l.phase, l.known, len(l.slots), l.used, l.reserved, l.limits.Bytes, l.loaded, l.expected, l.Pace(now)}
 }
 
-// State is the state of a record.
-func (l *Ledger) State(seq uint64) State {
-	if s := l.slots[seq]; s != nil {
-		return s.state
-	}
-	return Unknown
-}
-
 // ---- Records by their end ----
 
 func (l *Ledger) add(s *slot) {
--- a/internal/store/offline.go
+++ b/internal/store/offline.go
@@ -22,10 +22,10 @@
 	Here     bool // its times count from the machine's present start
 	Records  int
 	ByState  map[string]int
-	Bytes    int   // of records
-	File     int64 // of the file
-	Broken   int   // records that can't be read
-	Damage   []string
+	Bytes    int    // of records
+	File     int64  // of the file
+	Broken   int    // records that can't be read
+	Damage   string // what keeps the rest from being read; empty: nothing
 }
 
 // Init makes the store of a service that has run no sheet that could come again.
@@ -91,34 +91,20 @@
 	defer f.db.Close()
 	s = Summary{ID: f.head.ID, Name: f.head.Name, Format: f.head.Format, Whole: f.head.Whole, Clean: f.head.Clean,
 		Here: f.head.Boot == Now().Boot, ByState: map[string]int{}, File: f.size()}
-	err = f.pages(func(damage error) { s.Damage = append(s.Damage, damage.Error()) })
-	if err == nil {
-		err = f.each(chunk, func(list []keyed.Record, broken []uint64) {
-			s.Broken += len(broken)
-			s.Records += len(list)
-			for i := range list {
-				s.ByState[list[i].State.String()]++
-				s.Bytes += list[i].Size()
-			}
-		})
-	}
+	err = f.each(chunk, func(list []keyed.Record, broken []uint64) {
+		s.Broken += len(broken)
+		s.Records += len(list)
+		for i := range list {
+			s.ByState[list[i].State.String()]++
+			s.Bytes += list[i].Size()
+		}
+	})
 	if err != nil {
-		s.Damage = append(s.Damage, err.Error())
+		s.Damage = err.Error()
 	}
 	return s, nil
 }
 
-// pages walks the library's own structure.
-func (f *file) pages(damage func(error)) (err error) {
-	defer caught(&err)
-	return f.db.View(func(tx *bbolt.Tx) error {
-		for e := range tx.Check() {
-			damage(e)
-		}
-		return nil
-	})
-}
-
 // Dump hands over every record of a file, in the order of their promises.
 func Dump(path string, take func(keyed.Record) error) error {
 	f, err := open(path)
@@ -237,6 +223,5 @@
 	if err != nil {
 		return err
 	}
-	defer db.Close()
-	return db.Update(func(tx *bbolt.Tx) error { return putHead(tx, header{Format: version, Name: name}) })
+	return errors.Join(db.Update(func(tx *bbolt.Tx) error { return putHead(tx, header{Format: version, Name: name}) }), db.Close())
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -87,8 +87,15 @@
 	if err != nil {
 		return nil, err
 	}
-	now := Now()
-	f, made, err := openFile(filepath.Join(cfg.Dir, fileName), cfg.Name, now, time.Now().UnixMilli())
+	now, path := Now(), filepath.Join(cfg.Dir, fileName)
+	f, made, err := openFile(path, cfg.Name, now, time.Now().UnixMilli())
+	if errors.Is(err, errDamaged) { // kept for whoever can read more of it, and begun anew as if nothing were known
+		cfg.Stats.Inc("store", "damaged")
+		events.Say(cfg.Log, "store.damaged", err)
+		if err = os.Rename(path, asideName(path)); err == nil {
+			f, made, err = openFile(path, cfg.Name, now, time.Now().UnixMilli())
+		}
+	}
 	if err != nil {
 		lock.Close()
 		return nil, err
@@ -96,7 +103,7 @@
 	s := &Store{
 		cfg: cfg, keys: keys, lock: lock, file: f, wall: f.head.Wall, log: cfg.Log, stats: cfg.Stats, commit: cfg.Stats.Timing("store_commit"),
 		bell: make(chan struct{}, 1), over: make(chan struct{}), loaded: make(chan struct{}),
-		ledger: keyed.NewLedger(keyed.Limits{Bytes: cfg.Bytes, Result: cfg.Result, Blind: keys.LongestWindow(), Retry: time.Second}),
+		ledger: keyed.NewLedger(keyed.Limits{Bytes: cfg.Bytes, Result: cfg.Result, Retry: time.Second}),
 	}
 	if !made && f.head.Clean {
 		h := f.head
@@ -111,6 +118,9 @@
 	return s, nil
 }
 
+// asideName is where a damaged file is kept.
+func asideName(path string) string { return fmt.Sprintf("%s.damaged-%d", path, time.Now().UnixNano()) }
+
 // lockDir makes a folder one process's own.
 func lockDir(dir string) (*os.File, error) {
 	lock, err := os.OpenFile(filepath.Join(dir, lockName), os.O_CREATE|os.O_RDWR, 0o600)
@@ -306,8 +316,7 @@
 	switch {
 	case err != nil:
 		s.stale = true // what could be read of it is written anew, and the file itself set aside
-		aside := fmt.Sprintf("%s.damaged-%d", f.path, time.Now().UnixNano())
-		if err := os.Link(f.path, aside); err != nil {
+		if err := os.Link(f.path, asideName(f.path)); err != nil {
 			events.Say(s.log, "store.failed", err)
 		}
 	case len(broken) > 0:
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,273 @@
+package store
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"silverpath/internal/keyed"
+	"silverpath/internal/stats"
+)
+
+// contents is what a file gives back: every record by number, as it would be written. An error is damage that was seen.
+func contents(path string) (map[uint64]string, error) {
+	f, _, err := openFile(path, "n", keyed.Clock{}, 0)
+	if err != nil {
+		return nil, err
+	}
+	defer f.db.Close()
+	all := map[uint64]string{}
+	err = f.each(3, func(list []keyed.Record, broken []uint64) {
+		if len(broken) > 0 {
+			err = errors.New("broken records")
+		}
+		for i := range list {
+			all[list[i].Seq] = string(encode(&list[i]))
+		}
+	})
+	return all, err
+}
+
+// lose is a file as a loss of power may leave it half way from one state to the next: of the pages that differ some are there,
+// some not, some in part. The pages of the head come only once all others last, unless nothing is synced.
+func lose(rng *rand.Rand, before, after []byte, synced bool) []byte {
+	const page, sector, heads = 4096, 512, 2
+	out := slices.Clone(after)
+	was := func(at int) []byte {
+		b := make([]byte, sector)
+		if at < len(before) {
+			copy(b, before[at:min(len(before), at+sector)])
+		}
+		return b
+	}
+	headsOnly := synced && rng.IntN(2) == 0
+	for at := 0; at < len(out); at += page {
+		head := at < heads*page
+		if head == synced && !headsOnly && head || headsOnly && head && rng.IntN(2) == 0 || !head && !headsOnly && rng.IntN(2) == 0 {
+			whole := rng.IntN(2) == 0
+			for s := at; s < at+page; s += sector {
+				if whole || rng.IntN(2) == 0 || head { // a head is one sector
+					copy(out[s:], was(s))
+				}
+			}
+		}
+	}
+	return out
+}
+
+// The power goes in the middle of a commit, of a promise, a result or a sweep: what is found is what stood before it or what it
+// made, whole. Where the disk is not waited for, the same check finds that it is neither.
+func TestPowerGoes(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, fileName)
+	f, _, err := openFile(path, "n", keyed.Clock{Boot: "a"}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	harm, images := 0, 0
+	live := map[uint64]int{}
+	for seq := uint64(1); seq < 120; {
+		before, _ := os.ReadFile(path)
+		was, err := contentsOf(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var ops []op
+		for range 1 + rng.IntN(6) {
+			switch one := slices.Collect(maps.Keys(live)); {
+			case rng.IntN(2) == 0 || len(one) == 0:
+				r := keyed.Record{Seq: seq, State: keyed.Running, Key: fmt.Sprint("key", seq), ID: "id", Until: 9}
+				ops, live[seq] = append(ops, op{seq: seq, value: encode(&r)}), 1
+				seq++
+			default:
+				n := one[rng.IntN(len(one))]
+				r := keyed.Record{Seq: n, State: keyed.Done, Key: fmt.Sprint("key", n), ID: "id", Until: 9, Result: bytes.Repeat([]byte{byte(n)}, rng.IntN(3000))}
+				if live[n]++; live[n] > 2 {
+					ops = append(ops, op{seq: n, off: true})
+					delete(live, n)
+				} else {
+					ops = append(ops, op{seq: n, value: encode(&r)})
+				}
+			}
+		}
+		if err := f.commit(ops, &header{Format: format, Name: "n", Since: int64(seq)}); err != nil {
+			t.Fatal(err)
+		}
+		after, _ := os.ReadFile(path)
+		is, err := contentsOf(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 8 {
+			synced := i < 6
+			image := filepath.Join(t.TempDir(), fileName)
+			if err := os.WriteFile(image, lose(rng, before, after, synced), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			got, err := contents(image)
+			images++
+			switch good := err == nil && (maps.Equal(got, was) || maps.Equal(got, is)); {
+			case synced && !good:
+				t.Fatalf("commit to %d, image %d: %v, %d records, were %d and became %d", seq, i, err, len(got), len(was), len(is))
+			case !synced && !good:
+				harm++
+			}
+		}
+	}
+	f.db.Close()
+	if harm == 0 {
+		t.Errorf("%d images, none of those without syncs does harm: this test finds nothing", images)
+	}
+}
+
+func contentsOf(f *file) (map[uint64]string, error) {
+	all := map[uint64]string{}
+	err := f.each(100, func(list []keyed.Record, _ []uint64) {
+		for i := range list {
+			all[list[i].Seq] = string(encode(&list[i]))
+		}
+	})
+	return all, err
+}
+
+// holder stands for who acts on what is kept.
+type holder struct {
+	mu   sync.Mutex
+	all  map[string]keyed.Record
+	wait time.Duration
+}
+
+func (k *holder) Restore(list []keyed.Record, _ func(time.Duration) time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range list {
+		k.all[r.Key] = r
+	}
+}
+
+func (k *holder) Kept(func(time.Time) time.Duration) (list []keyed.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range k.all {
+		list = append(list, r)
+	}
+	return list
+}
+
+func (k *holder) LongestWindow() time.Duration { return k.wait }
+
+func start(t *testing.T, dir string) (*Store, *holder) {
+	t.Helper()
+	k := &holder{all: map[string]keyed.Record{}, wait: 300 * time.Millisecond}
+	s, err := Open(Config{Dir: dir, Name: "n", Bytes: 8 << 20, Result: 1 << 10, Log: log.New(io.Discard, "", 0), Stats: &stats.Counters{}}, k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Keep(t.Context())
+	<-s.Loaded()
+	return s, k
+}
+
+// put has one run kept, with its result.
+func put(t *testing.T, s *Store, key string, result []byte) {
+	t.Helper()
+	done := make(chan error, 1)
+	r, now := keyed.Record{Key: key, ID: "i", Window: time.Minute}, time.Now()
+	if v := s.Promise(&r, now, now.Add(time.Minute), time.Second, func(err error) { done <- err }); v.Do != keyed.Begin {
+		t.Fatalf("%s: %v", key, v)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if r.Result = result; result != nil {
+		s.Result(&r, now, now.Add(time.Minute), func(err error) { done <- err })
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A record that can't be read, and a file that can't, are set aside and kept; what else there is is taken up; and what is not
+// known fails until it can't matter, also over a further restart.
+func TestDamage(t *testing.T) {
+	for _, kind := range []string{"a record", "the pages"} {
+		dir := t.TempDir()
+		if err := Init(dir, "n"); err != nil {
+			t.Fatal(err)
+		}
+		s, _ := start(t, dir)
+		for i := range 300 {
+			put(t, s, fmt.Sprint("key-", i), []byte(strings.Repeat("result", 50)))
+		}
+		since := s.Since()
+		s.Close()
+		path := filepath.Join(dir, fileName)
+		text, _ := os.ReadFile(path)
+		if at := bytes.Index(text, []byte("key-7")); kind == "a record" {
+			for ; at >= 0; at = bytes.Index(text, []byte("key-7")) { // in every page that ever had it
+				text[at]++
+			}
+		} else {
+			for at := 4 * 4096; at < len(text); at += 4096 { // the heads of most pages
+				if at%(3*4096) == 0 {
+					copy(text[at:], "no page's head")
+				}
+			}
+		}
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Millisecond)
+		s, k := start(t, dir)
+		if s.Since() == since {
+			t.Errorf("%s: it says that nothing was forgotten", kind)
+		}
+		if n := len(k.all); kind == "a record" && n < 280 || n >= 300 {
+			t.Errorf("%s: %d of 300 records taken up", kind, n)
+		}
+		if v := s.Begins(time.Second); v.Do != keyed.Fail {
+			t.Errorf("%s: a sheet that may have run: %v", kind, v)
+		}
+		s.Close()
+		if left, _ := filepath.Glob(path + ".damaged-*"); kind != "a record" && len(left) != 1 {
+			t.Errorf("%s: set aside: %v", kind, left)
+		}
+		s, _ = start(t, dir)
+		if v := s.Begins(time.Second); v.Do != keyed.Fail {
+			t.Errorf("%s: after a further restart: %v", kind, v)
+		}
+		time.Sleep(400 * time.Millisecond)
+		if v := s.Begins(time.Second); v.Do != keyed.Begin {
+			t.Errorf("%s: once it can't matter: %v", kind, v)
+		}
+		put(t, s, "new", make([]byte, 1<<20)) // a result of the largest size
+		s.Close()
+		if _, k = start(t, dir); len(k.all["new"].Result) != 1<<20 {
+			t.Errorf("%s: %d bytes of the largest result", kind, len(k.all["new"].Result))
+		}
+	}
+}
+
+// Anything that is read as a record is the record that was written, or is not read at all.
+func FuzzRecord(f *testing.F) {
+	f.Add(encode(&keyed.Record{State: keyed.Done, Key: "k", ID: "i", Result: []byte("r")}))
+	f.Add([]byte{1, 2, 3})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := decode(7, b)
+		if err == nil && !bytes.Equal(encode(&r), b) {
+			t.Fatalf("%q is read as %+v", b, r)
+		}
+	})
+}
