--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -23,6 +23,7 @@
 	"silverpath/internal/fleet"
 	"silverpath/internal/front"
 	"silverpath/internal/handover"
+	"silverpath/internal/keyed"
 	"silverpath/internal/lab"
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/phase"
@@ -31,6 +32,7 @@
 	"silverpath/internal/scgi"
 	"silverpath/internal/settings"
 	"silverpath/internal/stats"
+	"silverpath/internal/store"
 )
 
 // ---- Stand-ins ----
@@ -607,15 +609,18 @@
 	routed bool
 	pools  *pools.Config
 	pair   handover.Role
+	keeps  bool // its runs, on a disk
 }
 
 var roles = []role{
-	{"", false, nil, 0},
-	{" through a router", true, nil, 0},
+	{"", false, nil, 0, false},
+	{" through a router", true, nil, 0, false},
+	{" that keeps its runs", false, nil, 0, true},
+	{" that keeps its runs, through a router", true, nil, 0, true},
 	{" with pools", false, &pools.Config{Pools: []pools.Pool{
-		{Name: "sheets", Classes: []string{"oddaja"}, Weight: 10, Floor: 0.3}, {Name: "others", Weight: 1, Floor: 0.1}}}, 0},
-	{" as the elder of two", false, nil, handover.Elder},
-	{" as the younger of two", false, nil, handover.Younger},
+		{Name: "sheets", Classes: []string{"oddaja"}, Weight: 10, Floor: 0.3}, {Name: "others", Weight: 1, Floor: 0.1}}}, 0, false},
+	{" as the elder of two", false, nil, handover.Elder, false},
+	{" as the younger of two", false, nil, handover.Younger, false},
 }
 
 func TestRules(t *testing.T) {
@@ -673,6 +678,30 @@
 	}
 }
 
+// keep has the edge's runs kept on a disk. It returns what ends that.
+func (e *edge) keep() func() {
+	began, clock := time.Now(), store.Now
+	store.Now = func() keyed.Clock { return keyed.Clock{Boot: "bubble", Now: time.Hour + time.Since(began)} }
+	dir := e.t.TempDir()
+	if err := store.Init(dir, "edge"); err != nil {
+		e.t.Fatal(err)
+	}
+	s, err := store.Open(store.Config{Dir: dir, Name: "edge", Bytes: 8 << 20, Result: 1 << 10, Log: e.log, Stats: e.stats}, e.worker)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	e.worker.Keep(s)
+	go s.Keep(context.Background())
+	<-s.Loaded()
+	return func() {
+		s.Close()
+		store.Now = clock
+		if n := e.stats.Get("runs", "oddaja", "ok"); n > 0 && e.stats.Get("store", "commits") == 0 {
+			e.t.Errorf("%d sheets ran and nothing was kept", n)
+		}
+	}
+}
+
 // beside starts another process of the service, idle, beside the edge's core. It returns what ends it.
 func (e *edge) beside(w *lab.Couple, as role) func() {
 	other, err := core.New(core.Config{Settings: site, MemoryMB: 64, Log: e.log, Stats: &stats.Counters{}, Pair: w.End(1)})
@@ -720,6 +749,9 @@
 	if routed {
 		defer e.route()()
 	}
+	if as.keeps {
+		defer e.keep()()
+	}
 	e.engine = &engine{core: e.worker}
 	if err := e.worker.Attach(e.engine, e.vault); err != nil {
 		t.Fatal(err)
