--- a/cmd/silverpath/durable_test.go
+++ b/cmd/silverpath/durable_test.go
@@ -15,10 +15,13 @@
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
+
 	"silverpath/internal/ask"
 	"silverpath/internal/core"
 	"silverpath/internal/keyed"
 	"silverpath/internal/lab"
+	"silverpath/internal/life"
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/standin"
 	"silverpath/internal/store"
@@ -26,19 +29,22 @@
 
 // storeProgram gives this test's program a disk that fails as a file says, for as long as the file is there: BOUNDARY ACTION, where
 // the boundary may be * and the action is a time to wait, kill:N for the end at the Nth time, or the text of an error. And it has
-// the machine be switched on when the environment says, which is another time for each name.
+// the machine be switched on when the environment says, as NAME AGO MACHINE: another time for each name.
 func storeProgram() {
 	store.Unpromised = os.Getenv("SILVERPATH_UNPROMISED") != ""
+	life.Ungated = os.Getenv("SILVERPATH_UNSIGNED") != ""
 	if name, ago, ok := strings.Cut(os.Getenv("SILVERPATH_BOOT"), " "); ok {
 		began := time.Now()
+		ago, machine, _ := strings.Cut(ago, " ")
 		up, _ := time.ParseDuration(ago)
-		store.Now = func() keyed.Clock { return keyed.Clock{Boot: name, Now: up + time.Since(began)} }
+		store.Now = func() keyed.Clock { return keyed.Clock{Machine: machine, Boot: name, Now: up + time.Since(began)} }
 	}
 	file := os.Getenv("SILVERPATH_STORE")
 	if file == "" {
 		return
 	}
 	var met atomic.Int64
+	life.Fault = func() error { return store.Fault("sign") }
 	store.Fault = func(boundary string) error {
 		text, err := os.ReadFile(file)
 		if err != nil {
@@ -175,6 +181,10 @@
 		l := d.Load(8, 4, 500*time.Millisecond, seed)
 		for range times {
 			time.Sleep(time.Duration(100+rng.IntN(200)) * time.Millisecond)
+			if rng.IntN(4) == 0 { // in the middle of a drain
+				g.Signal(syscall.SIGTERM)
+				time.Sleep(time.Duration(rng.IntN(150)) * time.Millisecond)
+			}
 			g.Kill()
 			g = d.up()
 			if enough != nil && enough(l) {
@@ -186,6 +196,13 @@
 		if l.Served < 50 {
 			t.Errorf("only %d served", l.Served)
 		}
+		var history []porcupine.Operation
+		for i, h := range l.Tries { // no two at a time by one client, as far as the checker is concerned
+			history = append(history, porcupine.Operation{ClientId: i, Call: h.From.UnixNano(), Return: h.To.UnixNano(), Output: try{h.Sheet, h.Outcome, h.Body}})
+		}
+		if !linearizable(history) {
+			wrong = append(wrong, "no order of one run explains the histories")
+		}
 		return wrong
 	}
 	for seed := range uint64(2) {
@@ -227,12 +244,12 @@
 					g.Ready(t)
 					g.Call("POST /api/snapshot")
 				} else {
-					for i := 0; i < 20; i++ {
+					for i, end := 0, time.Now().Add(5*time.Second); time.Now().Before(end); i++ {
 						select {
 						case <-g.Ended():
-							i = 20
-						default:
-							key := fmt.Sprintf("during-%d-%d", killed, i)
+							end = time.Now()
+						case <-time.After(2 * time.Millisecond):
+							key := fmt.Sprintf("during-%d-%d", killed, i%20)
 							d.ask(key, key)
 						}
 					}
@@ -605,3 +622,71 @@
 		t.Errorf("it was asked for here, and ran elsewhere: %+v, %d runs", r, m.Runs()["k"])
 	}
 }
+
+// The store is full: the next new sheet is refused before it runs, and told when to come back; repeats are answered; and room
+// comes back as windows end.
+func TestStoreIsFull(t *testing.T) {
+	t.Parallel()
+	d := newDurable(t)
+	d.span = 4 * time.Second
+	d.Args = []string{"--edge", write(t, "edge.json", fmt.Sprintf(`{"store":{"dir":%q,"size_mb":0.02,"result_kb":1}}`, d.dir))}
+	d.up()
+	served, refused := map[string]string{}, ask.Reply{}
+	for i := 0; refused.Outcome == "" && i < 500; i++ {
+		key := fmt.Sprintf("full-%d", i)
+		switch a := d.ask(key, key); a.Outcome {
+		case "served":
+			served[key] = string(a.Body)
+		case "refused":
+			refused = a
+			if d.Runs()[key] > 0 {
+				t.Errorf("%s ran and was refused", key)
+			}
+		default:
+			t.Fatalf("%s: %s", key, a.Outcome)
+		}
+	}
+	if refused.Outcome != "refused" || refused.After <= 0 || len(served) < 20 {
+		t.Fatalf("after %d: %+v", len(served), refused)
+	}
+	if w := d.again(served); len(w) > 0 {
+		t.Error(w)
+	}
+	for end := time.Now().Add(15 * time.Second); d.ask("later", "later").Outcome != "served"; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no room comes back")
+		}
+	}
+}
+
+// A repeat that comes while the store is still being read is answered if it is known by then, and else fails: it has run, so it is
+// not refused, and does not run again. Reads are served meanwhile.
+func TestRepeatWhileTheStoreIsRead(t *testing.T) {
+	t.Parallel()
+	d := newDurable(t)
+	g := d.up()
+	served := d.serve("before", 3)
+	g.Kill()
+	d.disk("loading 1s")
+	g = d.Start()
+	g.Ready(t)
+	for key := range served {
+		if a := d.ask(key, key); a.Outcome != "failed" {
+			t.Errorf("%s, while it is not known: %s", key, a.Outcome)
+		}
+	}
+	if a, err := ask.Once(ask.Platform, d.Addr, ask.Request{Class: "krog", Body: []byte("x"), Wait: time.Second}); err != nil || a.Outcome != "served" {
+		t.Errorf("a read meanwhile: %s, %v", a.Outcome, err)
+	}
+	if _, err := g.Await(5*time.Second, 0, "taken up"); err != nil {
+		t.Fatal(err)
+	}
+	if w := d.again(served); len(w) > 0 {
+		t.Error(w)
+	}
+	for body, n := range d.Runs() {
+		if n > 1 {
+			t.Errorf("%s ran %d times", body, n)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -117,19 +117,20 @@
 
 // Core is the service's one object: its phase, the module and all requests in hand.
 type Core struct {
-	name   string
-	log    *log.Logger
-	stats  *stats.Counters
-	runner Runner
-	caller Caller
-	keeper Keeper // nil: runs are forgotten with the process
-	base   time.Time
-	idle   chan struct{} // closed when draining and nothing is owed
-	shown  atomic.Pointer[View]
-	set    atomic.Pointer[silverpath.Settings] // in force; never changed, only replaced
-	state  phases
-	bar    atomic.Pointer[func() string] // why no sheet begins at all; nil: nobody is asked
-	waits  atomic.Bool                   // the runner is up, and another process's runs are not known yet
+	name     string
+	log      *log.Logger
+	stats    *stats.Counters
+	runner   Runner
+	caller   Caller
+	keeper   Keeper // nil: runs are forgotten with the process
+	ranUntil int64  // see RanUntil
+	base     time.Time
+	idle     chan struct{} // closed when draining and nothing is owed
+	shown    atomic.Pointer[View]
+	set      atomic.Pointer[silverpath.Settings] // in force; never changed, only replaced
+	state    phases
+	bar      atomic.Pointer[func() string] // why no sheet begins at all; nil: nobody is asked
+	waits    atomic.Bool                   // the runner is up, and another process's runs are not known yet
 
 	tellStatus bool
 	cell       bool
--- a/internal/core/keep.go
+++ b/internal/core/keep.go
@@ -31,15 +31,37 @@
 	defer c.mu.Unlock()
 	c.keeper = k
 	c.keys.sum = lastingSum
+	c.gate(k.Begins)
+}
+
+// Gate has one more say what becomes of a new sheet that has so much time. It is called before the first request.
+func (c *Core) Gate(begins func(left time.Duration) keyed.Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gate(begins)
+}
+
+func (c *Core) gate(begins func(left time.Duration) keyed.Verdict) {
+	before := c.keys.begins
 	c.keys.begins = func(t *task) keyed.Verdict {
-		v := k.Begins(time.Until(t.Due))
-		if t.Known && (v.Why == keyed.WhyFull || v.Why == keyed.WhyFailing || v.Why == keyed.WhySlow) {
-			return keyed.Verdict{} // it is not to run here: only whether it is known is asked
+		v := begins(time.Until(t.Due))
+		if t.Known && v.Do == keyed.Refuse { // it is not to run here: only whether it is known is asked
+			v = keyed.Verdict{}
+		}
+		if v.Do == keyed.Begin && before != nil {
+			return before(t)
 		}
 		return v
 	}
 }
 
+// RanUntil has routers told until when, in Unix milliseconds and at the latest, an earlier process of this service may have run
+// sheets that are not known here. It is called before the first request.
+func (c *Core) RanUntil(wall int64) { c.ranUntil = wall }
+
+// Ran is what RanUntil was told, 0 for nothing.
+func (c *Core) Ran() int64 { return c.ranUntil }
+
 // turnedAway is the answer to a new sheet that may not begin.
 func (c *Core) turnedAway(v keyed.Verdict) Answer {
 	if v.Do != keyed.Refuse {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -257,7 +257,8 @@
 	if s := r.cells.Load().Server(name); s != nil {
 		entered = s.From
 	}
-	r.table.Reached(r.clock(), name, boot, entered, time.Now().UnixMilli())
+	ran, _ := strconv.ParseInt(fields["l"], 10, 64)
+	r.table.Reached(r.clock(), name, boot, ran, entered, time.Now().UnixMilli())
 	if p := r.peers[name]; p != nil {
 		p.boot.Store(boot)
 	}
--- a/internal/fleet/rules.go
+++ b/internal/fleet/rules.go
@@ -144,3 +144,17 @@
 func (r *Runner) Worth() rulebook.Worth {
 	return rulebook.Worth{Asked: float64(r.asked.Load()) / 1000, Served: float64(r.served.Load()) / 1000}
 }
+
+// Returned is how far a router has come since its start: whether its map holds, whether sheets may be sent by it, and whether it has
+// its parts of what routers share.
+func (r *Runner) Returned() (mapped, sure, shared bool) {
+	m := r.cells.Load()
+	if m == nil {
+		return false, false, false
+	}
+	mapped = time.Since(m.read) <= m.Lease
+	sure = mapped && r.standing(m) == rulebook.Good
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return mapped, sure, r.share == nil || r.share.Granted(r.leased())
+}
--- a/internal/keyed/keyed.go
+++ b/internal/keyed/keyed.go
@@ -117,28 +117,32 @@
 // Size is what a record takes on the disk, in bytes.
 func (r *Record) Size() int { return overhead + len(r.Key) + len(r.ID) + len(r.Result) }
 
-// Clock is a time since a machine was switched on, and which time it was switched on.
+// Clock is a time since a machine was switched on, which machine that is (empty: nobody knows), and which time it was switched on.
 type Clock struct {
-	Boot string
-	Now  time.Duration
+	Machine, Boot string
+	Now           time.Duration
 }
 
 // Meta is what a store knows of itself.
 type Meta struct {
-	Boot string // in which its times count
+	Machine, Boot string // in which its times count
 	// Since is from when on it knows every run; Whole says that no run of before then can matter any more.
 	Since time.Duration
 	Whole bool
 	Wall  int64 // Unix milliseconds of Since, by which routers tell its knowledge from that of another
 }
 
-// Shift is what to add to the times of a store for them to count by the present clock. Since another switching on nobody knows
-// how long the machine was dark: the store's last time is taken for the present, so that every window is too long and none
-// too short. The last is the time of the newest record.
+// Shift is what to add to the times of a store for them to count by the present clock. Where the same machine was switched on since,
+// nobody knows how long it was dark, but all was written before: the store's last time is taken for the moment of switching on. On
+// another machine it is taken for the present. So every window is too long and none too short. The last is the time of the newest
+// record.
 func (m Meta) Shift(last time.Duration, c Clock) time.Duration {
 	last = max(last, m.Since)
-	if c.Boot == m.Boot && c.Now >= last {
+	switch {
+	case c.Boot == m.Boot && c.Now >= last:
 		return 0
+	case c.Boot != m.Boot && m.Machine != "" && c.Machine == m.Machine:
+		return -last
 	}
 	return c.Now - last
 }
--- a/internal/lab/bench_test.go
+++ b/internal/lab/bench_test.go
@@ -22,3 +22,5 @@
 func BenchmarkTakeover(b *testing.B)  { Takeover(b) }
 func BenchmarkOwner(b *testing.B)     { Owner(b) }
 func BenchmarkRules(b *testing.B)     { Rules(b) }
+func BenchmarkDurable(b *testing.B)   { Durable(b) }
+func BenchmarkPowerLoss(b *testing.B) { PowerLoss(b) }
--- /dev/null
+++ b/internal/lab/durable.go
@@ -0,0 +1,304 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"silverpath/internal/ask"
+	"silverpath/internal/keyed"
+	"silverpath/internal/standin"
+	"silverpath/internal/stats"
+	"silverpath/internal/store"
+)
+
+// Durable measures a service whose runs are kept on a disk: killed and started anew under load, what it costs, and how it
+// comes up with many records.
+func Durable(b *testing.B) {
+	b.Run("kills", durableKills)
+	b.Run("cost", durableCost)
+	b.Run("scale", durableScale)
+}
+
+// tested builds the program with the faults of its tests.
+func tested(b *testing.B) (bin string, env []string) {
+	bin = filepath.Join(b.TempDir(), "silverpath.test")
+	if out, err := exec.Command("go", "test", "-c", "-o", bin, "silverpath/cmd/silverpath").CombinedOutput(); err != nil {
+		b.Fatalf("%v\n%s", err, out)
+	}
+	return bin, []string{"SILVERPATH_RUN=1"}
+}
+
+// keeping is an edge file for a service that keeps its runs.
+func keeping(b *testing.B, dir, name string, sizeMB int, gather time.Duration) string {
+	file := filepath.Join(b.TempDir(), "edge.json")
+	text := fmt.Sprintf(`{"store":{"dir":%q,"size_mb":%d,"gather_us":%d}}`, dir, sizeMB, gather.Microseconds())
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	if _, err := os.Stat(dir); err != nil {
+		if err := store.Init(dir, name); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return file
+}
+
+func durableKills(b *testing.B) {
+	bin, env := tested(b)
+	const times = 200
+	fmt.Println("\n| runs are kept | killed | sheets | tries | served | failed or refused | no answer | run twice or told otherwise | failed after their window |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+	for _, kept := range []bool{false, true} {
+		s := Inherit(b, bin, env, false)
+		s.Wait = 900 * time.Millisecond
+		s.Edit = func(text string) string { return strings.Replace(text, `"deadline":4400000`, `"deadline":1000000`, -1) }
+		if kept {
+			s.Args = []string{"--edge", keeping(b, filepath.Join(b.TempDir(), "keys"), "lab", 8, 0)}
+		}
+		rng := rand.New(rand.NewPCG(1, 10))
+		g := s.Start()
+		g.Ready(b)
+		l := s.Load(8, 4, 500*time.Millisecond, 5)
+		for range times {
+			time.Sleep(time.Duration(100+rng.IntN(200)) * time.Millisecond)
+			g.Kill()
+			g = s.Start()
+			g.Ready(b)
+		}
+		wrong := l.End()
+		left := 0
+		if kept { // a sheet that never had a result runs as a new one once its window is over
+			time.Sleep(2*time.Second + time.Second + 2500*time.Millisecond)
+			for _, key := range l.Unserved() {
+				if a, err := ask.Once(ask.Platform, s.Addr, ask.Request{Class: "oddaja", Key: key, Body: []byte(key), Wait: 900 * time.Millisecond}); err != nil || a.Outcome != "served" {
+					left++
+				}
+			}
+		}
+		g.Kill()
+		fmt.Printf("| %v | %d | %d | %d | %d | %d | %d | %d | %d |\n", kept, times, l.Asked(), len(l.Times), l.Served, l.Refused, l.Unheard, len(wrong), left)
+		if kept && len(wrong) > 0 {
+			b.Error(wrong[:min(5, len(wrong))])
+		}
+	}
+}
+
+func durableCost(b *testing.B) {
+	bin, env := tested(b)
+	fmt.Println("\n| store | clients | sheets/s | p50 ms | p99 ms | not served | syncs a sheet | sheets a commit | KB written a sheet |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+	for _, clients := range []int{1, 16, 64} {
+		for _, c := range []struct {
+			name   string
+			kept   bool
+			gather time.Duration
+			disk   string
+		}{{"off", false, 0, ""}, {"on", true, 0, ""}, {"on, gathers 0.5 ms", true, 500 * time.Microsecond, ""},
+			{"on, gathers 2 ms", true, 2 * time.Millisecond, ""}, {"on, 20 ms more a commit", true, 0, "commit 20ms"}} {
+			durableLoad(b, bin, env, clients, c.name, c.kept, c.gather, c.disk)
+		}
+	}
+}
+
+// durableLoad has clients send new sheets one after the other, each on a connection of its own.
+func durableLoad(b *testing.B, bin string, env []string, clients int, name string, kept bool, gather time.Duration, disk string) {
+	m, err := standin.Listen(standin.Config{Listen: "127.0.0.1:0", Cores: 128, Shape: standin.Shape{Knee: 128, Thrash: 1, Speed: 1},
+		Other: standin.Class{Least: time.Millisecond, Most: 3 * time.Millisecond}, MemoryKB: 1 << 20, RunFactor: 4, Seed: 1})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer m.Close()
+	fault := filepath.Join(b.TempDir(), "fault")
+	if disk != "" {
+		if err := os.WriteFile(fault, []byte(disk), 0o600); err != nil {
+			b.Fatal(err)
+		}
+	}
+	dir := b.TempDir()
+	file := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(file, []byte(Site{Cores: 128, MemoryKB: 1 << 20, ProcMB: 512, Sockets: 512}.config(m.Addr())), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	args := []string{"serve", "--config", file}
+	if kept {
+		args = append(args, "--edge", keeping(b, filepath.Join(dir, "keys"), "lab", 128, gather))
+	}
+	cmd := exec.Command(bin, args...)
+	cmd.Env = append(append(os.Environ(), env...), "SILVERPATH_STORE="+fault)
+	p, err := launch(cmd)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer p.Kill()
+	if _, err := p.Await(comeUp, 0, "phase serving"); err != nil {
+		b.Fatal(err)
+	}
+	p.found()
+	var mu sync.Mutex
+	var times []time.Duration
+	var not atomic.Int64
+	var all sync.WaitGroup
+	const span = 4 * time.Second
+	began := time.Now()
+	for c := range clients {
+		all.Go(func() {
+			conn, err := ask.Dial(p.Platform)
+			if err != nil {
+				not.Add(1)
+				return
+			}
+			defer conn.Close()
+			for n := 0; time.Since(began) < span; n++ {
+				key, sent := fmt.Sprintf("%d-%d", c, n), time.Now()
+				a := <-conn.Ask(ask.Request{Class: "oddaja", Key: key, Body: []byte(key), Wait: 4 * time.Second})
+				mu.Lock()
+				if a.Outcome == "served" {
+					times = append(times, time.Since(sent))
+				} else {
+					not.Add(1)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	took := time.Since(began)
+	wrote := p.written()
+	counters, err := p.Stop()
+	if err != nil {
+		b.Error(err)
+	}
+	slices.Sort(times)
+	at := func(q float64) float64 {
+		if len(times) == 0 {
+			return 0
+		}
+		return float64(times[int(q*float64(len(times)-1))].Microseconds()) / 1000
+	}
+	n := max(1, len(times))
+	commits := counters["store.commits"]
+	fmt.Printf("| %s | %d | %.0f | %.1f | %.1f | %d | %.2f | %.1f | %.1f |\n", name, clients, float64(len(times))/took.Seconds(), at(0.5), at(0.99), not.Load(),
+		2*float64(commits)/float64(n), 2*float64(n)/float64(max(1, commits)), float64(wrote)/1024/float64(n))
+}
+
+// written is how many bytes the process has sent to disks.
+func (p *Process) written() (n int) {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/io", p.Pid()))
+	if _, rest, ok := strings.Cut(string(text), "\nwrite_bytes: "); ok {
+		fmt.Sscan(rest, &n)
+	}
+	return n
+}
+
+// forgetful acts on nothing that is kept.
+type forgetful struct{}
+
+func (forgetful) Restore([]keyed.Record, func(time.Duration) time.Time) {}
+func (forgetful) Kept(func(time.Time) time.Duration) (l []keyed.Record) { return l }
+func (forgetful) LongestWindow() time.Duration                          { return 0 }
+
+// fill writes so many runs with their results into a store.
+func fill(b *testing.B, dir string, records int) {
+	if err := store.Init(dir, "lab"); err != nil {
+		b.Fatal(err)
+	}
+	s, err := store.Open(store.Config{Dir: dir, Name: "lab", Bytes: 1 << 31, Result: 128, Log: log.New(io.Discard, "", 0), Stats: &stats.Counters{}}, forgetful{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	go s.Keep(context.Background())
+	<-s.Loaded()
+	var all sync.WaitGroup
+	for from := 0; from < records; from += 1000 {
+		for i := from; i < from+1000; i++ {
+			now := time.Now()
+			r := keyed.Record{Key: fmt.Sprintf("\x00key-%d", i), ID: fmt.Sprintf("%016x", i), Window: 20 * time.Minute}
+			all.Add(1)
+			v := s.Promise(&r, now, now.Add(20*time.Minute), time.Hour, func(error) {})
+			r.Result = make([]byte, 100)
+			if v.Do != keyed.Begin {
+				b.Fatal(v)
+			}
+			s.Result(&r, now, now.Add(20*time.Minute), func(error) { all.Done() })
+		}
+		all.Wait()
+	}
+	s.Close()
+}
+
+func durableScale(b *testing.B) {
+	bin, env := tested(b)
+	fmt.Println("\n| live keys | MB on disk | MB resident | front open ms | first read ms | all read within | first new sheet ms |")
+	fmt.Println("|---|---|---|---|---|---|---|")
+	for _, records := range []int{0, 10_000, 100_000, 1_000_000} {
+		dir := filepath.Join(b.TempDir(), "keys")
+		fill(b, dir, records)
+		m, err := standin.Listen(standin.Config{Listen: "127.0.0.1:0", Cores: 8, Shape: standin.Shape{Knee: 8, Thrash: 1, Speed: 1},
+			Other: standin.Class{Least: time.Millisecond, Most: time.Millisecond}, MemoryKB: 1 << 16, RunFactor: 4, Seed: 1})
+		if err != nil {
+			b.Fatal(err)
+		}
+		file := filepath.Join(b.TempDir(), "config.json")
+		text := strings.ReplaceAll(Site{Cores: 8, MemoryKB: 1 << 16, ProcMB: 8192, Sockets: 256}.config(m.Addr()), `"memory_span":13170000`, `"memory_span":1200000000`)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			b.Fatal(err)
+		}
+		cmd := exec.Command(bin, "serve", "--config", file, "--edge", keeping(b, dir, "lab", 1024, 0))
+		cmd.Env = append(os.Environ(), env...)
+		began := time.Now()
+		p, err := launch(cmd)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := p.Await(comeUp, 0, "msgpack: listening"); err != nil {
+			b.Fatal(err)
+		}
+		open := time.Since(began)
+		p.found()
+		first := func(class, key string) time.Duration {
+			for n := 0; ; n++ {
+				a, err := ask.Once(ask.Platform, p.Platform, ask.Request{Class: class, Key: key, Body: []byte(key), Wait: time.Second})
+				if err == nil && a.Outcome == "served" || time.Since(began) > time.Minute {
+					return time.Since(began)
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+		}
+		read := first("krog", "")
+		sheet := first("oddaja", "new")
+		if _, err := p.Await(time.Minute, 0, "taken up"); err != nil {
+			b.Fatal(err)
+		}
+		_, resident := p.Usage()
+		size := int64(0)
+		if s, err := os.Stat(filepath.Join(dir, "keys.db")); err == nil {
+			size = s.Size()
+		}
+		fmt.Printf("| %d | %d | %d | %d | %d | %s | %d |\n", records, size>>20, resident>>20, open.Milliseconds(), read.Milliseconds(), p.loadedIn(), sheet.Milliseconds())
+		p.Kill()
+		m.Close()
+	}
+}
+
+// loadedIn is within what time a service says that it read its store.
+func (p *Process) loadedIn() string {
+	line, err := p.Await(time.Second, 0, "taken up within ")
+	if err != nil {
+		return "never"
+	}
+	_, rest, _ := strings.Cut(line, "taken up within ")
+	word, _, _ := strings.Cut(rest, ",")
+	return word
+}
--- a/internal/lab/shared.go
+++ b/internal/lab/shared.go
@@ -171,17 +171,25 @@
 	Unheard         int      // connections that were refused, or ended without an answer
 	Wrong           []string // what must not be
 	Times           []time.Duration
+	Tries           []Tried
 
 	s       *Shared
 	stop    chan struct{}
 	all     sync.WaitGroup
 	mu      sync.Mutex
 	results map[string]string
+	asked   map[string]bool
+}
+
+// Tried is one try with its answer, for those who check histories.
+type Tried struct {
+	Sheet, Outcome, Body string
+	From, To             time.Time
 }
 
 // Load begins to send, by so many clients at once, up to so many tries of each sheet, with pauses of up to the given time.
 func (s *Shared) Load(clients, tries int, pause time.Duration, seed uint64) *Sheets {
-	l := &Sheets{s: s, stop: make(chan struct{}), results: map[string]string{}}
+	l := &Sheets{s: s, stop: make(chan struct{}), results: map[string]string{}, asked: map[string]bool{}}
 	for c := range clients {
 		l.all.Go(func() {
 			rng := rand.New(rand.NewPCG(seed, uint64(c)))
@@ -225,6 +233,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Times = append(l.Times, time.Since(sent))
+	l.asked[sheet] = true
+	outcome := map[bool]string{true: "refused", false: "failed"}[r.Error == "Full"]
+	if err == nil && r.Error == "" {
+		outcome = "served"
+	}
+	l.Tries = append(l.Tries, Tried{sheet, outcome, string(r.Body), sent, time.Now()})
 	switch first := l.results[sheet]; {
 	case err != nil:
 		l.Unheard++
@@ -285,3 +299,16 @@
 	}
 	return false
 }
+
+// Asked is the number of sheets of which any try was answered.
+func (l *Sheets) Asked() int { return len(l.asked) }
+
+// Unserved are the sheets of which no try was served.
+func (l *Sheets) Unserved() (list []string) {
+	for sheet := range l.asked {
+		if l.results[sheet] == "" {
+			list = append(list, sheet)
+		}
+	}
+	return list
+}
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -270,6 +270,9 @@
 	}
 	if boot, cell := c.core.Boot(); cell {
 		pairs = append(pairs, "b", strconv.FormatInt(boot, 10))
+		if ran := c.core.Ran(); ran != 0 {
+			pairs = append(pairs, "l", strconv.FormatInt(ran, 10))
+		}
 	}
 	return pairs
 }
--- /dev/null
+++ b/internal/recovery/recovery_test.go
@@ -0,0 +1,180 @@
+package recovery
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// A process leaves signs on a disk that stalls and fails, begins work where it may, and dies; the machine stays on, or is dark for
+// a time, or the disk comes to another one; and however that was, no work was begun later than the next process takes it to have
+// been. Without the rule that signs have to last, work was.
+func TestDark(t *testing.T) {
+	const day = 24 * time.Hour
+	play := func(t *rapid.T, ruled bool) (late time.Duration) {
+		terms := Terms{Every: 250 * time.Millisecond, Valid: time.Second}
+		// Drawn evenly: short times alone find nothing.
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		draw := func(most time.Duration) time.Duration { return 1 + time.Duration(rng.Int64N(int64(most))) }
+		up := draw(day) // of the machine, as the process starts; true time runs with it
+		l, now, began := NewLife(terms), up, time.Duration(-1)
+		var lasting Sign
+		var ends time.Duration // of the write under way
+		writing, fails := false, false
+		for range 1 + rng.IntN(60) {
+			if writing && now >= ends {
+				if !fails {
+					lasting = Sign{"s", "m", "b", l.asked, terms.Valid}
+				}
+				l.Written(!fails)
+				writing = false
+			}
+			if l.Due(now) {
+				writing, fails = true, rng.IntN(4) == 0
+				ends = now + draw(3*time.Second)
+			}
+			if l.May(now) || !ruled && l.lasts {
+				began = now
+			}
+			now += draw(500 * time.Millisecond)
+		}
+		if writing && !fails && rng.IntN(2) == 0 { // it may have come to last though nobody heard
+			lasting = Sign{"s", "m", "b", l.asked, terms.Valid}
+		}
+		died := now
+		next, passed := Sign{"s", "m", "b", 0, terms.Valid}, draw(day)
+		switch rng.IntN(4) {
+		case 0:
+			next.Up = died + passed
+		case 1:
+			next.Boot, next.Up = "c", draw(passed)
+		case 2: // the disk in another machine, which has been on for long
+			next.Machine, next.Boot, next.Up = "n", "d", day
+		case 3:
+			next.Name, next.Up = "another", died+passed
+		}
+		least, by := lasting.Dark(next)
+		if by == Nothing && least != 0 {
+			t.Fatalf("%v by nothing", least)
+		}
+		if began < 0 {
+			return 0
+		}
+		return least - (died + passed - began)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		if late := play(t, true); late > 0 {
+			t.Fatalf("work was begun %v later than it was taken to be", late)
+		}
+	})
+	harm := false
+	rapid.Check(t, func(t *rapid.T) { harm = play(t, false) > 0 || harm })
+	if !harm {
+		t.Error("without the rule no harm is found")
+	}
+}
+
+// All sets of what is met: what is open has all that it needs, each state has what the ones before it have, and what is not met
+// and of use is what is waited for.
+func TestPath(t *testing.T) {
+	for _, role := range []Role{Server, Router} {
+		for uses := range 1 << needs {
+			var list []Need
+			for n := range needs {
+				if uses&(1<<n) != 0 {
+					list = append(list, n)
+				}
+			}
+			for met := range 1 << needs {
+				if met&^uses != 0 {
+					continue
+				}
+				p := NewPath(0, role, list...)
+				for i, n := range list {
+					p.Tell(time.Duration(i+1), map[Need]bool{n: met&(1<<n) != 0})
+				}
+				lacks := func(n Need) bool { return uses&(1<<n) != 0 && met&(1<<n) == 0 }
+				v := p.View(time.Minute)
+				if p.Allows(Sheets) && (lacks(Rules) || role == Server && (lacks(Disk) || lacks(Window) || lacks(Signs)) || role == Router && lacks(Map)) ||
+					p.Allows(Width) && !p.Allows(Sheets) || p.Allows(Sheets) && !p.Allows(Reads) || p.Allows(Repeats) && role == Server && lacks(Disk) {
+					t.Fatalf("%v that uses %v and has %b allows too much", role, list, met)
+				}
+				if v.State != map[bool]State{true: Full}[p.Allows(Width)] && v.State != map[bool]State{true: Sure}[p.Allows(Sheets)] &&
+					v.State != map[bool]State{true: Reading}[p.Allows(Reads)] {
+					t.Fatalf("state %v", v.State)
+				}
+				for n := range needs {
+					if waits := slices.ContainsFunc(v.Waits, func(w Wait) bool { return w.Need == n }); waits != lacks(n) {
+						t.Fatalf("%v: waits %v, lacks %v", n, waits, lacks(n))
+					}
+				}
+			}
+		}
+	}
+}
+
+// Every file of the program that writes to a disk has its line in the table of trust, and every line's files do.
+func TestTableOfTrust(t *testing.T) {
+	writes := map[string]bool{"lasting.Put": true, "bbolt.Open": true, "os.Rename": true, "os.Link": true, "os.WriteFile": true,
+		"os.Create": true, "os.CreateTemp": true, "os.OpenFile": true}
+	root, found := filepath.Join("..", ".."), map[string]bool{}
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		name := filepath.ToSlash(strings.TrimPrefix(path, root+string(os.PathSeparator)))
+		if err != nil || d.IsDir() || !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go") {
+			return err
+		}
+		for _, outside := range []string{"internal/lab/", "internal/harness/", "internal/standin/"} { // of tests and of the lab
+			if strings.HasPrefix(name, outside) {
+				return nil
+			}
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			if call, ok := n.(*ast.CallExpr); ok {
+				if sel, ok := call.Fun.(*ast.SelectorExpr); ok {
+					if x, ok := sel.X.(*ast.Ident); ok && writes[fmt.Sprintf("%s.%s", x.Name, sel.Sel.Name)] {
+						found[name] = true
+					}
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	has := map[string]bool{}
+	for _, l := range Table {
+		for _, w := range l.Where {
+			if has[w] = true; !found[w] {
+				t.Errorf("%s writes to no disk, and has the line %q", w, l.What)
+			}
+		}
+		if l.What == "" || l.Why == "" {
+			t.Errorf("a line that says nothing: %+v", l)
+		}
+	}
+	for name := range found {
+		if !has[name] {
+			t.Errorf("%s writes to disks, and has no line in the table of trust", name)
+		}
+	}
+	if len(found) < 8 {
+		t.Errorf("only %d files that write were found", len(found))
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -180,8 +180,9 @@
 // ---- Membership ----
 
 // Reached is told that a server answered: a probe, or anything else. The boot is when it says that it started, 0 where it
-// does not, and the entered time when it came to be in the map, both in Unix milliseconds; wall is the present.
-func (t *Table) Reached(now time.Duration, name string, boot, entered, wall int64) {
+// does not, and ran until when, at the latest, it says that an incarnation before it may have run anything, 0 where it can't; the
+// entered time is when it came to be in the map. All are in Unix milliseconds; wall is the present.
+func (t *Table) Reached(now time.Duration, name string, boot, ran, entered, wall int64) {
 	s := t.servers[name]
 	if s == nil {
 		return
@@ -191,7 +192,11 @@
 	restarted := boot != 0 && known && boot != s.boot || boot == 0 && wasDown
 	// One that started not long ago, and was in the map before, had an incarnation whose sheets it has forgotten: so a
 	// router that has itself just started knows what it missed.
-	unseen := boot != 0 && !known && boot > entered && wall-boot < t.cfg.Window.Milliseconds()
+	until := boot
+	if ran != 0 {
+		until = min(ran, boot)
+	}
+	unseen := boot != 0 && !known && boot > entered && wall-until < t.cfg.Window.Milliseconds()
 	if boot != 0 {
 		s.boot = boot
 	}
@@ -199,7 +204,7 @@
 		t.counts.ColdBack++
 		s.lostKeys, s.lostAt, s.since = true, now, now
 		if boot != 0 { // what ran before ran before it started
-			s.lostAt = now - time.Duration(max(0, wall-boot))*time.Millisecond
+			s.lostAt = now - time.Duration(max(0, wall-until))*time.Millisecond
 		}
 		s.tries, s.fails, s.circuit, s.ejected, s.latency = 0, 0, Closed, 0, firstLatency.Seconds()
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -23,7 +23,7 @@
 	}
 	t.Members(time.Hour, weights)
 	for _, s := range names {
-		t.Reached(time.Hour, s, 0, 0, 0)
+		t.Reached(time.Hour, s, 0, 0, 0, 0)
 		t.servers[s].since = 0
 	}
 	return t, names
@@ -144,7 +144,7 @@
 		t.Fatalf("after three %v", health())
 	}
 	now += time.Second
-	tb.Reached(now, "s0", 0, 0, 0) // it says nothing of its start: it may be another one
+	tb.Reached(now, "s0", 0, 0, 0, 0) // it says nothing of its start: it may be another one
 	if health() != Alive || tb.Home(now, "", "s0") != Lost || tb.part(now, tb.servers["s0"]) > 0.2 {
 		t.Fatalf("%v, home %v", health(), tb.Home(now, "", "s0"))
 	}
@@ -156,12 +156,12 @@
 		for range 3 {
 			tb.Missed(now, "s0")
 		}
-		tb.Reached(now, "s0", 0, 0, 0)
+		tb.Reached(now, "s0", 0, 0, 0, 0)
 	}
 	if health() == Alive {
 		t.Error("one that comes and goes counts as alive")
 	}
-	if tb.Reached(now+flapFor+time.Second, "s0", 0, 0, 0); health() != Alive {
+	if tb.Reached(now+flapFor+time.Second, "s0", 0, 0, 0, 0); health() != Alive {
 		t.Error("it never does again")
 	}
 }
@@ -171,19 +171,24 @@
 func TestBoots(t *testing.T) {
 	for name, c := range map[string]struct {
 		boots   []int64
+		ran     int64
 		entered int64
 		want    Home
 	}{
-		"the same start":      {[]int64{1000, 1000}, 5000, Send},
-		"started anew":        {[]int64{1000, 99000}, 500, Lost},
-		"long ago":            {[]int64{1000, 50000}, 500, Send},
-		"a router that comes": {[]int64{95000}, 500, Lost},
-		"new in the map":      {[]int64{95000}, 96000, Send},
+		"the same start":                        {[]int64{1000, 1000}, 0, 5000, Send},
+		"started anew":                          {[]int64{1000, 99000}, 0, 500, Lost},
+		"long ago":                              {[]int64{1000, 50000}, 0, 500, Send},
+		"a router that comes":                   {[]int64{95000}, 0, 500, Lost},
+		"new in the map":                        {[]int64{95000}, 0, 96000, Send},
+		"dark for longer than the window":       {[]int64{1000, 99000}, 86000, 500, Send},
+		"dark for less":                         {[]int64{1000, 99000}, 90000, 500, Lost},
+		"a router that comes, to one long dark": {[]int64{95000}, 80000, 500, Send},
+		"what ran after the start is no news":   {[]int64{1000, 50000}, 99000, 500, Send},
 	} {
 		tb := New(Config{Window: 13 * time.Second})
 		tb.Members(time.Hour, map[string]float64{"s": 1})
 		for _, b := range c.boots {
-			tb.Reached(time.Hour, "s", b, c.entered, 100000)
+			tb.Reached(time.Hour, "s", b, c.ran, c.entered, 100000)
 		}
 		if got := tb.Home(time.Hour, "", "s"); got != c.want {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
@@ -307,7 +312,7 @@
 			case 3:
 				tb.Missed(now, name)
 			case 4:
-				tb.Reached(now, name, 0, 0, 0)
+				tb.Reached(now, name, 0, 0, 0, 0)
 			case 5:
 				tb.Told(now, "", name, float64(rapid.IntRange(0, 5).Draw(t, "credit")), time.Duration(rapid.IntRange(0, 2).Draw(t, "away"))*time.Second)
 			}
--- a/internal/rulebook/kinds.go
+++ b/internal/rulebook/kinds.go
@@ -80,7 +80,7 @@
 	}
 	add(Own, "edge", `status cell reserve.connections reserve.cheap_per_s reserve.cheap_each_per_s orders.state orders.group
 		orders.members rules.group rules.members rules.documents rules.most_routers fleet.map fleet.state
-		store.dir store.size_mb store.result_kb store.gather_us`)
+		store.dir store.size_mb store.result_kb store.gather_us life.file life.valid_ms`)
 	for _, f := range strings.Fields("probe_ms retries hedges most_out panic slow_start_ms") {
 		all["edge:fleet."+f] = all[DocRouting+":"+f]
 	}
--- a/internal/service/router.go
+++ b/internal/service/router.go
@@ -25,5 +25,6 @@
 	}
 	s.core.Tells("fleet", s.fleet.Status)
 	s.keep = append(s.keep, s.fleet.Keep)
+	s.recoverRouter()
 	return s.core.Attach(s.fleet, nil)
 }
--- a/internal/service/server.go
+++ b/internal/service/server.go
@@ -35,9 +35,13 @@
 	if err := s.openStore(); err != nil {
 		return err
 	}
+	if err := s.openLife(); err != nil {
+		return err
+	}
 	if err := s.followRules(map[string]follow.Document{rulebook.DocPools: s.poolsDocument()}, s.worth, nil, nil, nil); err != nil {
 		return err
 	}
+	s.recover()
 	cfg := s.cfg
 	if cfg.SCGI.Upstream != "" {
 		up := scgi.NewUpstream(cfg.SCGI.Upstream, cfg.Server.Cores, b.Upstream, cfg.SCGI.Timeout, s.core, s.log, s.stats)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -19,6 +19,7 @@
 	"silverpath/internal/follow"
 	"silverpath/internal/front"
 	"silverpath/internal/interp"
+	"silverpath/internal/life"
 	"silverpath/internal/mgmt"
 	"silverpath/internal/msgpackrpc"
 	"silverpath/internal/orders"
@@ -67,6 +68,7 @@
 	orders    *orders.Orders       // nil: it takes no orders of the fleet
 	follow    *follow.Follower     // nil: it acts on its own files alone
 	store     *store.Store         // nil: what ran is forgotten with the process
+	life      *life.Keeper         // nil: it leaves no signs of life
 	tuning    sync.Mutex           // of what holds at present of cfg, and of these:
 	classes   int                  // times that the group's classes were taken up
 	agreed    bool                 // the classes are the group's
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -225,7 +225,8 @@
 		{"scgi", c.SCGI == d.SCGI}, {"snmp", c.SNMP == d.SNMP},
 		{"edge", c.Edge.On == d.Edge.On && c.Edge.Status == d.Edge.Status && c.Edge.Cell == d.Edge.Cell && c.Edge.PoolsOn() == d.Edge.PoolsOn() &&
 			reflect.DeepEqual(c.Edge.Reserve, d.Edge.Reserve) && reflect.DeepEqual(c.Edge.Fleet, d.Edge.Fleet) &&
-			reflect.DeepEqual(c.Edge.Rules, d.Edge.Rules) && reflect.DeepEqual(c.Edge.Store, d.Edge.Store)},
+			reflect.DeepEqual(c.Edge.Rules, d.Edge.Rules) && reflect.DeepEqual(c.Edge.Store, d.Edge.Store) &&
+			reflect.DeepEqual(c.Edge.Life, d.Edge.Life)},
 		{"settings.family_info.gauges", slices.Equal(c.Gauges, d.Gauges)},
 	} {
 		if !f.same {
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -26,6 +26,13 @@
 	Orders  *Orders              // nil: it takes no orders of the fleet
 	Rules   *Rules               // nil: it acts on its own files alone
 	Store   *Store               // nil: what ran is forgotten with the process
+	Life    *Life                // nil: it leaves no signs of life
+}
+
+// Life sets up signs of life: see docs/recovery.md.
+type Life struct {
+	File  string
+	Valid time.Duration // for so long after a sign that lasts, what has an effect may begin
 }
 
 // Store sets up where the runs of keyed requests outlive the process: see docs/durable.md.
@@ -74,7 +81,7 @@
 	if err != nil {
 		return Edge{}, err
 	}
-	f.only("status", "cell", "pools", "limit", "memory", "reserve", "fleet", "orders", "rules", "store")
+	f.only("status", "cell", "pools", "limit", "memory", "reserve", "fleet", "orders", "rules", "store", "life")
 	e := Edge{On: true, Status: true}
 	if f.v.Exists("status") {
 		e.Status = f.flag("status")
@@ -99,6 +106,10 @@
 		}
 	}
 	e.Store = readStore(f.object("store"))
+	e.Life = readLife(f.object("life"))
+	if e.Life != nil && e.Fleet != nil {
+		f.fail("life", "a router runs no sheets")
+	}
 	if e.Store != nil && e.Fleet != nil {
 		f.fail("store", "a router keeps no runs")
 	}
@@ -119,6 +130,24 @@
 	return e, nil
 }
 
+func readLife(f fields) *Life {
+	if f.v == nil {
+		return nil
+	}
+	f.only("file", "valid_ms")
+	set := &Life{File: f.text("file"), Valid: time.Duration(f.integer("valid_ms")) * time.Millisecond}
+	switch {
+	case set.File == "":
+		f.fail("file", "missing")
+	case f.v.Exists("valid_ms") && (set.Valid < 200*time.Millisecond || set.Valid > time.Minute):
+		f.fail("valid_ms", "not from 200 to 60000: %v", set.Valid.Milliseconds())
+	}
+	if set.Valid == 0 {
+		set.Valid = 2 * time.Second
+	}
+	return set
+}
+
 func readStore(f fields) *Store {
 	if f.v == nil {
 		return nil
--- a/internal/settings/kinds_test.go
+++ b/internal/settings/kinds_test.go
@@ -55,7 +55,7 @@
 		for _, path := range slices.Sorted(maps.Keys(seen)) {
 			total++
 			// An object is of no kind, what is in it is; one that is not there is looked at elsewhere.
-			leaf := !slices.Contains([]string{"fleet", "orders", "rules", "pools", "reserve", "store", "member.snmp"}, path)
+			leaf := !slices.Contains([]string{"fleet", "orders", "rules", "pools", "reserve", "store", "life", "member.snmp"}, path)
 			for other := range seen {
 				leaf = leaf && !strings.HasPrefix(other, path+".") && !strings.HasPrefix(other, path+"[")
 			}
--- a/internal/shares/holder.go
+++ b/internal/shares/holder.go
@@ -124,3 +124,6 @@
 
 // Counts returns what was decided since the start.
 func (h *Holder) Counts() Counts { return h.counts }
+
+// Granted reports whether there are parts whose lease holds.
+func (h *Holder) Granted(now time.Duration) bool { return now < h.until }
--- a/internal/store/clock.go
+++ b/internal/store/clock.go
@@ -20,7 +20,7 @@
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		return keyed.Clock{Boot: nobody(), Now: time.Since(started)}
 	}
-	return keyed.Clock{Boot: boot(), Now: time.Duration(ts.Nano())}
+	return keyed.Clock{Machine: machine(), Boot: boot(), Now: time.Duration(ts.Nano())}
 }
 
 var started = time.Now()
@@ -34,6 +34,15 @@
 	return strings.TrimSpace(string(b))
 })
 
+// machine is the installation's own name, by which a disk in another machine is told from one that came back. Empty: there is none.
+var machine = sync.OnceValue(func() string {
+	b, err := os.ReadFile("/etc/machine-id")
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(b))
+})
+
 var nobody = sync.OnceValue(newID)
 
 func newID() string {
--- a/internal/store/file.go
+++ b/internal/store/file.go
@@ -40,18 +40,19 @@
 
 // header is what a file says of itself.
 type header struct {
-	Format int    `json:"format"`
-	ID     string `json:"id"`
-	Name   string `json:"name"` // of the service
-	Boot   string `json:"boot"`
-	Since  int64  `json:"since_ns"`
-	Whole  bool   `json:"whole"`
-	Wall   int64  `json:"wall_ms"`
-	Clean  bool   `json:"clean"` // closed in good order, and not opened since
+	Format  int    `json:"format"`
+	ID      string `json:"id"`
+	Name    string `json:"name"` // of the service
+	Machine string `json:"machine,omitempty"`
+	Boot    string `json:"boot"`
+	Since   int64  `json:"since_ns"`
+	Whole   bool   `json:"whole"`
+	Wall    int64  `json:"wall_ms"`
+	Clean   bool   `json:"clean"` // closed in good order, and not opened since
 }
 
 func (h header) meta() keyed.Meta {
-	return keyed.Meta{Boot: h.Boot, Since: time.Duration(h.Since), Whole: h.Whole, Wall: h.Wall}
+	return keyed.Meta{Machine: h.Machine, Boot: h.Boot, Since: time.Duration(h.Since), Whole: h.Whole, Wall: h.Wall}
 }
 
 // Fault is asked at every boundary of what is written, by its name, in test programs only: it may wait, end the process, or
@@ -160,7 +161,7 @@
 // openFile opens the file of a folder, or makes one that knows nothing from before now.
 func openFile(path, name string, now keyed.Clock, wall int64) (f *file, made bool, err error) {
 	if _, err := os.Stat(path); errors.Is(err, fs.ErrNotExist) {
-		h := header{Format: format, ID: newID(), Name: name, Boot: now.Boot, Since: int64(now.Now), Wall: wall}
+		h := header{Format: format, ID: newID(), Name: name, Machine: now.Machine, Boot: now.Boot, Since: int64(now.Now), Wall: wall}
 		f, err := writeFile(path, h, nil)
 		return f, true, err
 	} else if err != nil {
--- a/internal/store/offline.go
+++ b/internal/store/offline.go
@@ -35,7 +35,7 @@
 			return fmt.Errorf("%s: there is one already", path)
 		}
 		now := Now()
-		f, err := writeFile(path, header{Format: format, ID: newID(), Name: name, Boot: now.Boot, Since: int64(now.Now), Whole: true,
+		f, err := writeFile(path, header{Format: format, ID: newID(), Name: name, Machine: now.Machine, Boot: now.Boot, Since: int64(now.Now), Whole: true,
 			Wall: time.Now().UnixMilli(), Clean: true}, nil)
 		if err != nil {
 			return err
@@ -198,7 +198,7 @@
 		}
 		now := Now()
 		shift := f.head.meta().Shift(last, now)
-		next, err := f.rewrite(path, header{Format: format, ID: newID(), Name: name, Boot: now.Boot, Since: int64(now.Now), Whole: whole,
+		next, err := f.rewrite(path, header{Format: format, ID: newID(), Name: name, Machine: now.Machine, Boot: now.Boot, Since: int64(now.Now), Whole: whole,
 			Wall: time.Now().UnixMilli(), Clean: true}, func(r keyed.Record) (keyed.Record, bool) {
 			r, keep := r.Recover(shift, now.Now)
 			if keep {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -309,7 +309,7 @@
 	} else if shift != 0 {
 		h.Since += int64(shift)
 	}
-	h.Boot = now.Boot
+	h.Machine, h.Boot = now.Machine, now.Boot
 	s.mu.Lock()
 	s.wall = h.Wall
 	s.mu.Unlock()
