--- a/internal/store/file.go
+++ b/internal/store/file.go
@@ -10,6 +10,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -134,11 +135,7 @@
 // openDB opens a file. Which of its pages are free stands in it: to find that out would be a walk through all of them, on which the
 // library ends the process where one is damaged. One that is there and can't be a file of records is an error that names it.
 func openDB(path string, readOnly bool) (db *bbolt.DB, err error) {
-	defer func() {
-		if p := recover(); p != nil { // the library's word for pages that are not what they should be
-			db, err = nil, fmt.Errorf("%s: %w: %v", path, errDamaged, p)
-		}
-	}()
+	defer caught(&err)()
 	db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType, ReadOnly: readOnly})
 	switch {
 	case errors.Is(err, bbolt.ErrTimeout):
@@ -183,7 +180,7 @@
 }
 
 func (f *file) readHead() (err error) {
-	defer caught(&err)
+	defer caught(&err)()
 	return f.db.View(func(tx *bbolt.Tx) error {
 		m := tx.Bucket(bucketMeta)
 		if m == nil || tx.Bucket(bucketKeys) == nil {
@@ -199,10 +196,15 @@
 	})
 }
 
-// caught makes an error of what the library says by a panic where pages are not what they should be.
-func caught(err *error) {
-	if p := recover(); p != nil {
-		*err = fmt.Errorf("%w: %v", errDamaged, p)
+// caught makes an error of what the library comes upon in pages that are not what they should be: its own panics, and reads
+// outside of the file's memory. Use it as defer caught(&err)().
+func caught(err *error) func() {
+	old := debug.SetPanicOnFault(true)
+	return func() {
+		debug.SetPanicOnFault(old)
+		if p := recover(); p != nil {
+			*err = fmt.Errorf("%w: %v", errDamaged, p)
+		}
 	}
 }
 
@@ -217,7 +219,7 @@
 // commit makes changes, with a new head where that is not nil, and returns once they last. After an error nobody knows whether
 // they do.
 func (f *file) commit(ops []op, head *header) (err error) {
-	defer caught(&err)
+	defer caught(&err)()
 	if err := boundary("commit"); err != nil {
 		return err
 	}
@@ -256,7 +258,7 @@
 
 // last is the time of the newest record.
 func (f *file) last() (at time.Duration, err error) {
-	defer caught(&err)
+	defer caught(&err)()
 	tries := 1000 // of records that can't be read
 	err = f.db.View(func(tx *bbolt.Tx) error {
 		c := tx.Bucket(bucketKeys).Cursor()
@@ -275,7 +277,7 @@
 // each reads records in their order, some at a time, so that no reader holds pages for long. Those that can't be read come as
 // broken.
 func (f *file) each(some int, take func(list []keyed.Record, broken []uint64)) (err error) {
-	defer caught(&err)
+	defer caught(&err)()
 	past := uint64(0) // numbers rise: where they don't, damaged pages lead back to themselves
 	for from, more := []byte{}, true; more; {
 		var list []keyed.Record
@@ -316,7 +318,7 @@
 
 // setAside puts records that can't be read where they are not met again, as they are.
 func (f *file) setAside(broken []uint64) (err error) {
-	defer caught(&err)
+	defer caught(&err)()
 	return f.db.Update(func(tx *bbolt.Tx) error {
 		aside, err := tx.CreateBucketIfNotExists(bucketBroken)
 		if err != nil {
@@ -334,7 +336,7 @@
 
 // count is the number of records.
 func (f *file) count() (n int, err error) {
-	defer caught(&err)
+	defer caught(&err)()
 	err = f.db.View(func(tx *bbolt.Tx) error {
 		n = tx.Bucket(bucketKeys).Stats().KeyN
 		return nil
@@ -430,7 +432,7 @@
 
 // copyTo writes a copy of the file as it stands, which lasts once it is there.
 func (f *file) copyTo(path string) (err error) {
-	defer caught(&err)
+	defer caught(&err)()
 	if err := boundary("snapshot"); err != nil {
 		return err
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -86,7 +86,7 @@
 		}
 		var ops []op
 		for range 1 + rng.IntN(6) {
-			switch one := slices.Collect(maps.Keys(live)); {
+			switch one := slices.Sorted(maps.Keys(live)); {
 			case rng.IntN(2) == 0 || len(one) == 0:
 				r := keyed.Record{Seq: seq, State: keyed.Running, Key: fmt.Sprint("key", seq), ID: "id", Until: 9}
 				ops, live[seq] = append(ops, op{seq: seq, value: encode(&r)}), 1
