--- a/internal/keyed/keyed_test.go
+++ b/internal/keyed/keyed_test.go
@@ -140,6 +140,23 @@
 	}
 }
 
+// A commit waits for others only where others are to be expected.
+func TestGathers(t *testing.T) {
+	for every, want := range map[time.Duration]time.Duration{2 * time.Millisecond: 0, 100 * time.Microsecond: 500 * time.Microsecond} {
+		l, now := NewLedger(Limits{Gather: 500 * time.Microsecond}), time.Hour
+		for range 1000 {
+			now += every
+			l.Asked(now)
+		}
+		if got := l.Gathers(now); got != want {
+			t.Errorf("one each %v: waits %v", every, got)
+		}
+		if got := l.Gathers(now + time.Second); got != 0 {
+			t.Errorf("a second later: waits %v", got)
+		}
+	}
+}
+
 // world is one key, the disk, and the process that serves it, in all orders: tries come, writes last or are lost, power goes.
 type world struct {
 	up      bool
--- a/internal/keyed/ledger.go
+++ b/internal/keyed/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 )
 
@@ -21,11 +22,13 @@
 type Limits struct {
 	Bytes  int           // of all records, results to come included
 	Result int           // set aside for a result that is to come; a larger one is kept all the same
+	Gather time.Duration // how long a commit waits, at the most, for more that could go with it
 	Retry  time.Duration // how long who is refused stays away, where nothing tells better
 }
 
 const (
-	recent = 8 // commits by which the next is judged
+	lately = 100 * time.Millisecond // over which changes are counted
+	recent = 8                      // commits by which the next is judged
 	// paceFor is how long a commit says anything of the next. A disk that was too slow for any sheet is so tried again.
 	paceFor = 2 * time.Second
 	// legs is how many commits lie between a request and its answer: the promise's and the result's, and each may have to
@@ -48,6 +51,8 @@
 	reserved int // for results that are to come
 	took     [recent]commit
 	commits  int
+	asked    float64 // changes of late, each the less the longer ago it was
+	askedAt  time.Duration
 	loaded   int
 	expected int // records to load, as far as that is known
 }
@@ -228,6 +233,22 @@
 
 // ---- The disk ----
 
+// Asked is told of a change that is to be written.
+func (l *Ledger) Asked(now time.Duration) { l.asked, l.askedAt = l.lately(now)+1, now }
+
+func (l *Ledger) lately(now time.Duration) float64 {
+	return l.asked * math.Exp(-(now-l.askedAt).Seconds()/lately.Seconds())
+}
+
+// Gathers is how long the next commit should wait: where another change is to be expected meanwhile, by how many came of late, it
+// saves that one a commit; where none is, it would only be late.
+func (l *Ledger) Gathers(now time.Duration) time.Duration {
+	if l.lately(now)/lately.Seconds()*l.limits.Gather.Seconds() < 1 {
+		return 0
+	}
+	return l.limits.Gather
+}
+
 // Committed is told how long a commit took.
 func (l *Ledger) Committed(now, took time.Duration) {
 	l.took[l.commits%recent] = commit{took, now}
--- a/internal/lab/durable.go
+++ b/internal/lab/durable.go
@@ -105,8 +105,8 @@
 			kept   bool
 			gather time.Duration
 			disk   string
-		}{{"off", false, 0, ""}, {"on", true, 0, ""}, {"on, gathers 0.5 ms", true, 500 * time.Microsecond, ""},
-			{"on, gathers 2 ms", true, 2 * time.Millisecond, ""}, {"on, 20 ms more a commit", true, 0, "commit 20ms"}} {
+		}{{"off", false, 0, ""}, {"on, gathers nothing", true, 0, ""}, {"on", true, 500 * time.Microsecond, ""},
+			{"on, gathers 2 ms", true, 2 * time.Millisecond, ""}, {"on, 20 ms more a commit", true, 500 * time.Microsecond, "commit 20ms"}} {
 			durableLoad(b, bin, env, clients, c.name, c.kept, c.gather, c.disk)
 		}
 	}
@@ -190,7 +190,7 @@
 	n := max(1, len(times))
 	commits := counters["store.commits"]
 	fmt.Printf("| %s | %d | %.0f | %.1f | %.1f | %d | %.2f | %.1f | %.1f |\n", name, clients, float64(len(times))/took.Seconds(), at(0.5), at(0.99), not.Load(),
-		2*float64(commits)/float64(n), 2*float64(n)/float64(max(1, commits)), float64(wrote)/1024/float64(n))
+		2*float64(commits)/float64(n), float64(counters["store.changes"])/2/float64(max(1, commits)), float64(wrote)/1024/float64(n))
 }
 
 // written is how many bytes the process has sent to disks.
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -40,7 +40,7 @@
 	Dir      string
 	SizeMB   float64       // of all records; 0: an eighth of the memory
 	ResultKB float64       // set aside for each result that is to come
-	Gather   time.Duration // how long a commit waits for more that could go with it
+	Gather   time.Duration // how long a commit waits for more that could go with it, where more is to be expected
 }
 
 // Orders sets up a server that takes orders of the fleet: see docs/duties.md.
@@ -167,6 +167,9 @@
 	if set.ResultKB == 0 {
 		set.ResultKB = 16
 	}
+	if !f.v.Exists("gather_us") {
+		set.Gather = 500 * time.Microsecond // docs/results/durable.md
+	}
 	return set
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -47,7 +47,7 @@
 	Name   string        // of the service: the folder of another one is not taken
 	Bytes  int           // of all records
 	Result int           // set aside for each result that is to come
-	Gather time.Duration // how long a commit waits for more that could go with it
+	Gather time.Duration // how long a commit waits, at the most, for more that could go with it
 	Log    *log.Logger
 	Stats  *stats.Counters
 }
@@ -103,7 +103,7 @@
 	s := &Store{
 		cfg: cfg, keys: keys, lock: lock, file: f, wall: f.head.Wall, log: cfg.Log, stats: cfg.Stats, commit: cfg.Stats.Timing("store_commit"),
 		bell: make(chan struct{}, 1), over: make(chan struct{}), loaded: make(chan struct{}),
-		ledger: keyed.NewLedger(keyed.Limits{Bytes: cfg.Bytes, Result: cfg.Result, Retry: time.Second}),
+		ledger: keyed.NewLedger(keyed.Limits{Bytes: cfg.Bytes, Result: cfg.Result, Gather: cfg.Gather, Retry: time.Second}),
 	}
 	if !made && f.head.Clean {
 		h := f.head
@@ -242,6 +242,12 @@
 // put queues a change, under the lock.
 func (s *Store) put(o op) {
 	s.queue = append(s.queue, o)
+	s.ledger.Asked(Now().Now)
+	s.ring()
+}
+
+// ring has the writer look.
+func (s *Store) ring() {
 	select {
 	case s.bell <- struct{}{}:
 	default:
@@ -375,16 +381,16 @@
 		case <-tick.C:
 			s.sweep()
 		}
-		if s.cfg.Gather > 0 {
-			s.mu.Lock()
-			more := len(s.queue) < mostBatch && !s.closed
-			s.mu.Unlock()
-			if more {
-				time.Sleep(s.cfg.Gather)
-			}
+		s.mu.Lock()
+		wait := s.ledger.Gathers(Now().Now)
+		if len(s.queue) >= mostBatch || s.closed {
+			wait = 0
 		}
-		for s.one(&tried) {
+		s.mu.Unlock()
+		if wait > 0 {
+			time.Sleep(wait)
 		}
+		s.one(&tried)
 		s.mu.Lock()
 		done := s.closed && len(s.queue) == 0
 		s.mu.Unlock()
@@ -395,8 +401,8 @@
 	}
 }
 
-// one commits one batch. It reports whether there may be more.
-func (s *Store) one(tried *time.Time) bool {
+// one commits one batch.
+func (s *Store) one(tried *time.Time) {
 	s.mu.Lock()
 	n := min(len(s.queue), mostBatch)
 	batch := s.queue[:n:n]
@@ -414,7 +420,7 @@
 		}
 	}
 	if n == 0 && head == nil {
-		return false
+		return
 	}
 	err := errStale
 	if !s.stale {
@@ -448,7 +454,11 @@
 	if err == nil {
 		s.crowded()
 	}
-	return n > 0
+	s.mu.Lock()
+	if len(s.queue) > 0 { // what came meanwhile goes next
+		s.ring()
+	}
+	s.mu.Unlock()
 }
 
 // errStale is what who waits is told while what was written last is not known to last.
@@ -517,10 +527,7 @@
 	s.closed = true
 	s.ledger.Close()
 	s.mu.Unlock()
-	select {
-	case s.bell <- struct{}{}:
-	default:
-	}
+	s.ring()
 	<-s.over
 }
 
