A new router sends no sheet to a server before it has heard when that one started

Seen in the lab: after all processes were killed and started anew, without a store, the first new sheet was served after 74 ms, where routers mean to fail all sheets for a window. Cause: Table.Home sent to a server whose health is still unknown, without the start that fences tries from before it, so a repeat that overtook the first probe ran again. With the probes lost on the way, 4 of 4 sheets ran twice; now they fail until the server has said when it started. Also: fleet status --at shows every process's way back, and a fleet of four servers and two routers killed as a whole four times, started in four orders of role: none ran twice, all repeats answered the same.

--- a/cmd/silverpath/duty.go
+++ b/cmd/silverpath/duty.go
@@ -229,8 +229,12 @@
 	f.DurationVar(&back, "back", 30*time.Second, "within which it has to be ready again, or the roll stops")
 	f.Float64Var(&r.WorthLeast, "worth-least", 0, "part of the worth that has to be served, or the roll stops; 0: not looked at")
 	f.BoolVar(&wait, "wait", false, "wait for its end, within --within")
-	status := &cobra.Command{Use: "status", Short: "Show the roll under way, or the last one", Args: cobra.NoArgs,
+	var at []string
+	status := &cobra.Command{Use: "status", Short: "Show the roll under way, or the last one; with --at, how far processes are on their way back", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if len(at) > 0 {
+				return showReturns(c, at, asJSON)
+			}
 			return inTime(&g, within, func(ctx context.Context) error {
 				v, err := g.Read(ctx, duties.Conducts)
 				if err != nil {
@@ -260,6 +264,7 @@
 				return nil
 			})
 		}}
+	status.Flags().StringSliceVar(&at, "at", nil, "addresses of routers and servers that are asked how far they have come: see docs/recovery.md")
 	wish := func(use, short string) *cobra.Command {
 		return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			return inTime(&g, within, func(ctx context.Context) error {
--- a/cmd/silverpath/recovery_test.go
+++ b/cmd/silverpath/recovery_test.go
@@ -5,11 +5,15 @@
 	"fmt"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"silverpath/internal/ask"
+	"silverpath/internal/cells"
 	"silverpath/internal/lab"
+	"silverpath/internal/standin/faults"
+	"silverpath/internal/store"
 )
 
 // alive has a service leave signs of life, valid for so long, and keep its runs if it is to.
@@ -174,3 +178,167 @@
 		}
 	}
 }
+
+// A fleet of servers that keep their runs and leave signs of life is killed as a whole under load, and comes back in every order of
+// its roles, with its cells one after the other: what was served is answered the same by whatever router, nothing runs twice, a
+// cell whose servers are back serves though the other is dark, and the processes say how far they are.
+func TestWholeFleetComesBack(t *testing.T) {
+	t.Parallel()
+	f := newFleetWith(t, sheetWindow, `{"cell":true}`)
+	dirs := map[string]string{}
+	for _, name := range f.names {
+		f.servers[name].Kill()
+		dirs[name] = t.TempDir()
+		if err := store.Init(filepath.Join(dirs[name], "keys"), name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	addrs := map[string]string{}
+	up := func(name string, boot int) {
+		edge := write(t, "edge.json", fmt.Sprintf(`{"cell":true,"store":{"dir":%q,"size_mb":8},"life":{"file":%q,"valid_ms":1000}}`,
+			filepath.Join(dirs[name], "keys"), filepath.Join(dirs[name], "life")))
+		args := []string{"serve", "--config", f.files[name], "--edge", edge}
+		if addrs[name] != "" {
+			args = append(args, "--listen", addrs[name])
+		}
+		f.servers[name] = spawnIn(t, []string{fmt.Sprintf("SILVERPATH_BOOT=boot%d 1s m1", boot)}, args...)
+		addrs[name] = f.servers[name].addr
+	}
+	entered := time.Now().Add(-time.Minute).UnixMilli()
+	for i, name := range f.names {
+		up(name, 0)
+		f.Map.Servers[i].Addr, f.Map.Servers[i].From = addrs[name], entered
+	}
+	f.Map.Tenants = append(f.Map.Tenants, cells.Tenant{Name: "other", Rate: 10, Homes: []cells.Home{{Cell: "b"}}})
+	file := f.write(f.Map)
+	routers := []*process{f.route("r1", file, ""), f.route("r2", file, "")}
+	ask := func(tenant, key string) ask.Reply {
+		a, err := ask.Once(ask.Platform, routers[len(key)%2].addr, ask.Request{Class: "oddaja", Tenant: tenant, Key: key, Body: []byte(key), Wait: 800 * time.Millisecond})
+		if err != nil {
+			a.Outcome = "lost"
+		}
+		return a
+	}
+	served := func(tenant, key string, within time.Duration) {
+		t.Helper()
+		for n, end := 0, time.Now().Add(within); ; n++ {
+			if ask(tenant, fmt.Sprint(key, n)).Outcome == "served" {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("no new sheet of %s is served within %v", tenant, within)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	served("brand", "first", 8*time.Second)
+	served("other", "first-other", 8*time.Second)
+	for n, order := range []string{"r a b", "a r b", "a b r", "b a r"} {
+		results := map[string]string{}
+		stop, over := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(over)
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				key := fmt.Sprintf("sheet-%d-%d", n, i)
+				if a := ask([]string{"brand", "other"}[i%2], key); a.Outcome == "served" {
+					results[key] = string(a.Body)
+				}
+			}
+		}()
+		time.Sleep(300 * time.Millisecond)
+		for _, p := range routers {
+			p.Signal(syscall.SIGKILL)
+		}
+		for _, name := range f.names {
+			f.servers[name].Kill()
+		}
+		for _, p := range routers {
+			p.Kill()
+		}
+		close(stop)
+		<-over
+		for _, role := range strings.Fields(order) {
+			switch role {
+			case "r":
+				routers = []*process{f.route(fmt.Sprint("r1", n), file, ""), f.route(fmt.Sprint("r2", n), file, "")}
+			case "a":
+				up("s1", n+1)
+				up("s2", n+1)
+				if order == "r a b" {
+					served("brand", fmt.Sprint("though b is dark ", n), 3*time.Second)
+					if a := ask("other", fmt.Sprint("dark ", n)); a.Outcome == "served" {
+						t.Error("a dark cell serves")
+					}
+				}
+			case "b":
+				up("s3", n+1)
+				up("s4", n+1)
+			}
+		}
+		served("brand", fmt.Sprint("after-", n, "-"), 3*time.Second)
+		served("other", fmt.Sprint("after-other-", n, "-"), 3*time.Second)
+		if len(results) < 3 {
+			t.Errorf("%s: only %d sheets before the dark", order, len(results))
+		}
+		for key, body := range results {
+			tenant := "brand"
+			if key[len(key)-1]%2 == 1 {
+				tenant = "other"
+			}
+			if a := ask(tenant, key); a.Outcome != "served" || string(a.Body) != body {
+				t.Errorf("%s: %s: %s %q, was %q", order, key, a.Outcome, a.Body, body)
+			}
+		}
+	}
+	if n := twice(f.ran()); n > 0 {
+		t.Errorf("%d sheets ran twice", n)
+	}
+	var at []string
+	for _, p := range append(routers, f.servers["s1"], f.servers["s4"]) {
+		at = append(at, p.addr)
+	}
+	code, out, message := run(t, "", "fleet", "status", "--at", strings.Join(at, ",")+",127.0.0.1:1")
+	if code != 0 || strings.Count(out, "  full  ") != 4 || strings.Count(out, "  away  ") != 1 {
+		t.Errorf("fleet status: %d %s %s", code, out, message)
+	}
+}
+
+// A server without a store and its router are both new: a repeat of what ran before is not sent there before the router has heard
+// when the server started. Its probes are lost on the way, as a sheet that overtakes them would find it.
+func TestRouterAndServerAreNew(t *testing.T) {
+	t.Parallel()
+	f := newFleetWith(t, sheetWindow, `{"cell":true}`)
+	way, err := faults.Listen(f.servers["s1"].addr, true, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(way.Close)
+	f.Map.Cells, f.Map.Servers = f.Map.Cells[:1], f.Map.Servers[:1]
+	f.Map.Servers[0].Addr, f.Map.Servers[0].From = way.Addr(), time.Now().Add(-time.Minute).UnixMilli()
+	file := f.write(f.Map)
+	r := f.route("r1", file, "")
+	for end := time.Now().Add(8 * time.Second); toAll(1, fmt.Sprint("first", time.Now().UnixNano()), r)["served"] == 0; {
+		if time.Now().After(end) {
+			t.Fatal("nothing is served")
+		}
+	}
+	if got := toAll(4, "before", r); got["served"] != 4 {
+		t.Fatalf("before: %v", got)
+	}
+	r.Kill()
+	f.servers["s1"].Kill()
+	way.Set(faults.There, faults.Fate{Of: "probe", Lost: true})
+	f.servers["s1"] = spawn(t, "serve", "--config", f.files["s1"], "--edge", f.edge, "--listen", f.servers["s1"].addr)
+	r = f.route("r2", file, "")
+	if got := toAll(4, "before", r); got["failed"] != 4 {
+		t.Errorf("by a router that has not heard of the server: %v", got)
+	}
+	if n := twice(f.ran()); n > 0 {
+		t.Errorf("%d sheets ran twice", n)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -143,6 +143,7 @@
 	boot     int64                    // Unix milliseconds of its start, as it says; 0: it does not
 	lostAt   time.Duration            // when an incarnation that may have run sheets was last there; 0: none was lost
 	lostKeys bool
+	met      bool // it has answered this router: until then nobody knows whether it started anew
 }
 
 // New returns an empty table.
@@ -188,6 +189,7 @@
 		return
 	}
 	wasDown := s.health == Dead
+	s.met = true
 	known := s.boot != 0
 	restarted := boot != 0 && known && boot != s.boot || boot == 0 && wasDown
 	// One that started not long ago, and was in the map before, had an incarnation whose sheets it has forgotten: so a
@@ -468,12 +470,13 @@
 	Waiting             // it asked to be left alone, or is full: refused, as it never runs elsewhere
 )
 
-// Home tells what may be done with a sheet at its home. A server that is dead, or came back without what it knew, may
+// Home tells what may be done with a sheet at its home. A server that is dead, came back without what it knew, or has not yet said
+// when it started to a router that is new itself, may
 // have run it, and nobody else may then: until no try of it can come any more the answer is that it failed.
 func (t *Table) Home(now time.Duration, tenant, name string) Home {
 	s := t.servers[name]
 	switch {
-	case s == nil || s.health == Dead:
+	case s == nil || s.health == Dead || !s.met:
 		return Lost
 	case s.lostKeys && now-s.lostAt < t.cfg.Window:
 		return Lost
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -184,6 +184,7 @@
 		"dark for less":                         {[]int64{1000, 99000}, 90000, 500, Lost},
 		"a router that comes, to one long dark": {[]int64{95000}, 80000, 500, Send},
 		"what ran after the start is no news":   {[]int64{1000, 50000}, 99000, 500, Send},
+		"a router that comes, before a word":    {nil, 0, 500, Lost},
 	} {
 		tb := New(Config{Window: 13 * time.Second})
 		tb.Members(time.Hour, map[string]float64{"s": 1})
