--- a/cmd/silverpath/main.go
+++ b/cmd/silverpath/main.go
@@ -97,7 +97,7 @@
 				return service.Main(load, signals, os.Stderr)
 			},
 		}),
-		askCommand(), statusCommand(), cellsCommand(), quorumCommand(), dutyCommand(), fleetCommand(), rulesCommand(), storeCommand(),
+		askCommand(), statusCommand(), cellsCommand(), quorumCommand(), dutyCommand(), fleetCommand(), rulesCommand(), storeCommand(), recoverCommand(),
 		&cobra.Command{
 			Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "silverpath", version()) },
--- /dev/null
+++ b/cmd/silverpath/recover.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"silverpath/internal/evidence"
+)
+
+// recoverCommand shows what there is to go by after the dark.
+func recoverCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "recover", Short: "See what is left on disks after the dark: see docs/recovery.md"}
+	var asJSON bool
+	inspect := &cobra.Command{Use: "inspect PATH…", Args: cobra.MinimumNArgs(1),
+		Short: "Say whose each file or folder is, of when, and whether it can be trusted; nothing is changed",
+		RunE: func(c *cobra.Command, args []string) error {
+			var list []evidence.Found
+			wrong := 0
+			for _, path := range args {
+				f, err := evidence.Look(path)
+				if err != nil {
+					return err
+				}
+				if f.Wrong != "" {
+					wrong++
+				}
+				list = append(list, f)
+			}
+			if asJSON {
+				if err := printJSON(c.OutOrStdout(), list); err != nil {
+					return err
+				}
+			} else {
+				for _, f := range list {
+					fmt.Fprintf(c.OutOrStdout(), "%s: %s", f.Path, f.Kind)
+					if f.Of != "" {
+						fmt.Fprintf(c.OutOrStdout(), " of %s", f.Of)
+					}
+					fmt.Fprintf(c.OutOrStdout(), ", trusted: %s\n", f.Trust)
+					for _, s := range f.Says {
+						fmt.Fprintf(c.OutOrStdout(), "  %s\n", s)
+					}
+					if f.Wrong != "" {
+						fmt.Fprintf(c.OutOrStdout(), "  wrong: %s\n", f.Wrong)
+					}
+				}
+			}
+			if wrong > 0 {
+				return errors.New("some of it can't be trusted: keep it as it is")
+			}
+			return nil
+		}}
+	inspect.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	cmd.AddCommand(inspect)
+	return cmd
+}
--- a/cmd/silverpath/recovery_test.go
+++ b/cmd/silverpath/recovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -342,3 +343,44 @@
 		t.Errorf("%d sheets ran twice", n)
 	}
 }
+
+// What is left on disks says whose it is, of when and whether it can be trusted; what is torn says so, and the command fails.
+func TestInspect(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3)
+	g.Members[0].Kill()
+	d := newDurable(t)
+	d.alive(400*time.Millisecond, true)
+	p := d.up()
+	d.serve("one", 2)
+	p.Kill()
+	f := newFleet(t, sheetWindow)
+	state := filepath.Join(t.TempDir(), "state.db")
+	r := f.route("r1", f.write(f.Map), state)
+	r.Kill()
+	sign := filepath.Join(filepath.Dir(d.dir), "life")
+	for path, want := range map[string][]string{
+		g.Disk(0): {"member of a group of q0, trusted: trusted", "of the group ", "log up to entry "},
+		d.dir:     {"runs of keyed requests of lab, trusted: trusted", "done: 2"},
+		sign:      {"sign of life of lab, trusted: trusted", "nothing was begun for "},
+		state:     {"map of a router, trusted: once confirmed", "map version 1, 4 servers"},
+	} {
+		code, out, message := run(t, "", "recover", "inspect", path)
+		for _, w := range want {
+			if code != 0 || !strings.Contains(out, w) {
+				t.Errorf("%s: %d %s %s lacks %q", path, code, out, message, w)
+			}
+		}
+	}
+	text, err := os.ReadFile(sign)
+	if err != nil {
+		t.Fatal(err)
+	}
+	torn := write(t, "torn", string(text[:len(text)-9]))
+	if code, out, _ := run(t, "", "recover", "inspect", torn); code != 1 || !strings.Contains(out, "trusted: never") || !strings.Contains(out, "wrong: ") {
+		t.Errorf("a torn sign: %d %s", code, out)
+	}
+	if code, out, _ := run(t, "", "recover", "inspect", write(t, "text", "something else")); code != 1 || !strings.Contains(out, "nothing that this program writes") {
+		t.Errorf("another file: %d %s", code, out)
+	}
+}
--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -102,12 +102,9 @@
 	if err != nil {
 		return nil, err
 	}
-	var s stored
-	if len(data) < 9 || string(data[:8]) != fmt.Sprintf("%08x", crc32.ChecksumIEEE(data[9:])) {
-		return nil, fmt.Errorf("%s: torn, or not a file of orders: set it aside", path)
-	}
-	if err := json.Unmarshal(data[9:], &s); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+	s, err := parse(path, data)
+	if err != nil {
+		return nil, err
 	}
 	if s.Service != service {
 		return nil, fmt.Errorf("%s: of another service, %q: set it aside", path, s.Service)
@@ -116,6 +113,26 @@
 	return f, nil
 }
 
+func parse(path string, data []byte) (s stored, err error) {
+	if len(data) < 9 || string(data[:8]) != fmt.Sprintf("%08x", crc32.ChecksumIEEE(data[9:])) {
+		return s, fmt.Errorf("%s: torn, or not a file of orders: set it aside", path)
+	}
+	if err := json.Unmarshal(data[9:], &s); err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Look reads a book without taking it up: whose it is, and the latest order of each duty.
+func Look(path string) (service string, seen map[string]Order, err error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", nil, err
+	}
+	s, err := parse(path, data)
+	return s.Service, s.Seen, err
+}
+
 // Keep notes an order and returns once that lasts. Where it fails the order is not noted, and not to be done.
 func (f *File) Keep(o Order, service string) error {
 	next := NewBook(f.seen, f.blank)
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -62,7 +62,7 @@
 func Open(path, name string, valid time.Duration, l *log.Logger, s *stats.Counters) (*Keeper, error) {
 	k := &Keeper{path: path, name: name, valid: valid, log: l, stats: s, found: store.Now(), ungated: Ungated,
 		life: recovery.NewLife(recovery.Terms{Every: valid / part, Valid: valid})}
-	last, err := read(path)
+	last, err := Read(path)
 	if err != nil {
 		events.Say(l, "life.unreadable", err)
 		if err := os.Rename(path, fmt.Sprintf("%s.damaged-%d", path, time.Now().UnixNano())); err != nil && !errors.Is(err, fs.ErrNotExist) {
@@ -80,7 +80,8 @@
 	return k, nil
 }
 
-func read(path string) (s recovery.Sign, err error) {
+// Read reads a sign. One that is not there is of nobody, and no error.
+func Read(path string) (s recovery.Sign, err error) {
 	f, err := os.Open(path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return s, nil
--- a/internal/store/file.go
+++ b/internal/store/file.go
@@ -19,8 +19,10 @@
 	"silverpath/internal/lasting"
 )
 
+// FileName is the file in a store's folder.
+const FileName = "keys.db"
+
 const (
-	fileName = "keys.db"
 	lockName = "lock"
 	// format is the version of what is on the disk.
 	format = 1
@@ -135,11 +137,11 @@
 // openDB opens a file. Which of its pages are free stands in it: to find that out would be a walk through all of them, on which the
 // library ends the process where one is damaged. One that is there and can't be a file of records is an error that names it.
 func openDB(path string, readOnly bool) (db *bbolt.DB, err error) {
-	defer caught(&err)()
+	defer Caught(&err)()
 	db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType, ReadOnly: readOnly})
 	switch {
 	case errors.Is(err, bbolt.ErrTimeout):
-		err = errInUse
+		err = ErrInUse
 	case errors.Is(err, bbolt.ErrInvalid), errors.Is(err, bbolt.ErrChecksum), errors.Is(err, bbolt.ErrVersionMismatch):
 		err = fmt.Errorf("%w: %v", errDamaged, err)
 	}
@@ -150,10 +152,13 @@
 	return db, nil
 }
 
-var (
-	errInUse   = errors.New("in use by another process")
-	errDamaged = errors.New("it can't be read")
-)
+// ErrInUse is of a file that another process has open.
+var ErrInUse = errors.New("in use by another process")
+
+var errDamaged = errors.New("it can't be read")
+
+// OpenRead opens a file of the library's to be read.
+func OpenRead(path string) (*bbolt.DB, error) { return openDB(path, true) }
 
 // openFile opens the file of a folder, or makes one that knows nothing from before now.
 func openFile(path, name string, now keyed.Clock, wall int64) (f *file, made bool, err error) {
@@ -180,7 +185,7 @@
 }
 
 func (f *file) readHead() (err error) {
-	defer caught(&err)()
+	defer Caught(&err)()
 	return f.db.View(func(tx *bbolt.Tx) error {
 		m := tx.Bucket(bucketMeta)
 		if m == nil || tx.Bucket(bucketKeys) == nil {
@@ -196,9 +201,9 @@
 	})
 }
 
-// caught makes an error of what the library comes upon in pages that are not what they should be: its own panics, and reads
-// outside of the file's memory. Use it as defer caught(&err)().
-func caught(err *error) func() {
+// Caught makes an error of what the library comes upon in pages that are not what they should be: its own panics, and reads
+// outside of the file's memory. Use it as defer Caught(&err)().
+func Caught(err *error) func() {
 	old := debug.SetPanicOnFault(true)
 	return func() {
 		debug.SetPanicOnFault(old)
@@ -219,7 +224,7 @@
 // commit makes changes, with a new head where that is not nil, and returns once they last. After an error nobody knows whether
 // they do.
 func (f *file) commit(ops []op, head *header) (err error) {
-	defer caught(&err)()
+	defer Caught(&err)()
 	if err := boundary("commit"); err != nil {
 		return err
 	}
@@ -258,7 +263,7 @@
 
 // last is the time of the newest record.
 func (f *file) last() (at time.Duration, err error) {
-	defer caught(&err)()
+	defer Caught(&err)()
 	tries := 1000 // of records that can't be read
 	err = f.db.View(func(tx *bbolt.Tx) error {
 		c := tx.Bucket(bucketKeys).Cursor()
@@ -277,7 +282,7 @@
 // each reads records in their order, some at a time, so that no reader holds pages for long. Those that can't be read come as
 // broken.
 func (f *file) each(some int, take func(list []keyed.Record, broken []uint64)) (err error) {
-	defer caught(&err)()
+	defer Caught(&err)()
 	past := uint64(0) // numbers rise: where they don't, damaged pages lead back to themselves
 	for from, more := []byte{}, true; more; {
 		var list []keyed.Record
@@ -318,7 +323,7 @@
 
 // setAside puts records that can't be read where they are not met again, as they are.
 func (f *file) setAside(broken []uint64) (err error) {
-	defer caught(&err)()
+	defer Caught(&err)()
 	return f.db.Update(func(tx *bbolt.Tx) error {
 		aside, err := tx.CreateBucketIfNotExists(bucketBroken)
 		if err != nil {
@@ -336,7 +341,7 @@
 
 // count is the number of records.
 func (f *file) count() (n int, err error) {
-	defer caught(&err)()
+	defer Caught(&err)()
 	err = f.db.View(func(tx *bbolt.Tx) error {
 		n = tx.Bucket(bucketKeys).Stats().KeyN
 		return nil
@@ -432,7 +437,7 @@
 
 // copyTo writes a copy of the file as it stands, which lasts once it is there.
 func (f *file) copyTo(path string) (err error) {
-	defer caught(&err)()
+	defer Caught(&err)()
 	if err := boundary("snapshot"); err != nil {
 		return err
 	}
--- a/internal/store/offline.go
+++ b/internal/store/offline.go
@@ -54,13 +54,13 @@
 		return err
 	}
 	defer lock.Close()
-	return do(filepath.Join(dir, fileName))
+	return do(filepath.Join(dir, FileName))
 }
 
 // FileOf is the file of a store, by its folder; a file is its own.
 func FileOf(path string) string {
 	if s, err := os.Stat(path); err == nil && s.IsDir() {
-		return filepath.Join(path, fileName)
+		return filepath.Join(path, FileName)
 	}
 	return path
 }
@@ -219,7 +219,7 @@
 	if err := Init(dir, name); err != nil {
 		return err
 	}
-	db, err := openDB(filepath.Join(dir, fileName), false)
+	db, err := openDB(filepath.Join(dir, FileName), false)
 	if err != nil {
 		return err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now, path := Now(), filepath.Join(cfg.Dir, fileName)
+	now, path := Now(), filepath.Join(cfg.Dir, FileName)
 	f, made, err := openFile(path, cfg.Name, now, time.Now().UnixMilli())
 	if errors.Is(err, errDamaged) { // kept for whoever can read more of it, and begun anew as if nothing were known
 		cfg.Stats.Inc("store", "damaged")
@@ -135,7 +135,7 @@
 		if !errors.Is(err, unix.EWOULDBLOCK) || time.Now().After(end) {
 			lock.Close()
 			if errors.Is(err, unix.EWOULDBLOCK) {
-				err = errInUse
+				err = ErrInUse
 			}
 			return nil, fmt.Errorf("%s: %w", dir, err)
 		}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -70,7 +70,7 @@
 // made, whole. Where the disk is not waited for, the same check finds that it is neither.
 func TestPowerGoes(t *testing.T) {
 	dir := t.TempDir()
-	path := filepath.Join(dir, fileName)
+	path := filepath.Join(dir, FileName)
 	f, _, err := openFile(path, "n", keyed.Clock{Boot: "a"}, 0)
 	if err != nil {
 		t.Fatal(err)
@@ -112,7 +112,7 @@
 		}
 		for i := range 8 {
 			synced := i < 6
-			image := filepath.Join(t.TempDir(), fileName)
+			image := filepath.Join(t.TempDir(), FileName)
 			if err := os.WriteFile(image, lose(rng, before, after, synced), 0o600); err != nil {
 				t.Fatal(err)
 			}
@@ -213,7 +213,7 @@
 		}
 		since := s.Since()
 		s.Close()
-		path := filepath.Join(dir, fileName)
+		path := filepath.Join(dir, FileName)
 		text, _ := os.ReadFile(path)
 		if at := bytes.Index(text, []byte("key-7")); kind == "a record" {
 			for ; at >= 0; at = bytes.Index(text, []byte("key-7")) { // in every page that ever had it
