--- a/cmd/silverpath/recovery_test.go
+++ b/cmd/silverpath/recovery_test.go
@@ -384,3 +384,35 @@
 		t.Errorf("another file: %d %s", code, out)
 	}
 }
+
+// The disk is full as a service starts: it serves reads and answers repeats of what it kept; sheets begin once the disk is well.
+func TestDiskIsFullAtTheStart(t *testing.T) {
+	t.Parallel()
+	d := newDurable(t)
+	d.alive(400*time.Millisecond, true)
+	g := d.up()
+	d.full(g)
+	served := d.serve("before", 3)
+	g.Leave(t)
+	d.disk("* no space left on device")
+	g = d.bare()
+	if a, err := ask.Once(ask.Platform, d.Addr, ask.Request{Class: "krog", Body: []byte("x"), Wait: time.Second}); err != nil || a.Outcome != "served" {
+		t.Errorf("a read: %s, %v", a.Outcome, err)
+	}
+	for end := time.Now().Add(5 * time.Second); len(d.again(served)) > 0; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("repeats are not answered")
+		}
+	}
+	if a := d.ask("new", "new"); a.Outcome == "served" || d.Runs()["new"] > 0 {
+		t.Errorf("a new sheet: %s", a.Outcome)
+	}
+	d.disk("")
+	d.full(g)
+	d.serve("after", 3)
+	g.Kill()
+	d.up()
+	if w := d.again(served); len(w) > 0 {
+		t.Error(w)
+	}
+}
--- a/internal/service/recovery.go
+++ b/internal/service/recovery.go
@@ -34,6 +34,7 @@
 		return fmt.Errorf("life.file: %w", err)
 	}
 	dark, _ := s.life.Dark()
+	s.stats.Set(uint64(dark.Milliseconds()), "life", "dark_ms")
 	s.core.RanUntil(time.Now().Add(-dark).UnixMilli())
 	s.core.Gate(func(time.Duration) keyed.Verdict {
 		switch {
@@ -135,6 +136,8 @@
 	now := time.Since(r.began)
 	r.path.Tell(now, met)
 	v := r.path.View(now)
+	s.stats.Set(uint64(v.State), "recovery", "state")
+	s.stats.Set(uint64(len(v.Waits)), "recovery", "waits")
 	if v.State == r.said {
 		return
 	}
@@ -146,7 +149,7 @@
 	if len(waits) == 0 {
 		waits = []string{"nothing"}
 	}
-	s.stats.Inc("recovery", v.State.String())
+	s.stats.Inc("recovery", "reached", v.State.String())
 	events.Say(s.log, "recovery.state", v.State, now.Round(time.Millisecond), strings.Join(waits, ", "))
 }
 
