--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -184,15 +184,21 @@
 	})
 }
 
-func taken(path string, f *Found) error {
-	head := make([]byte, 9)
+// headOf is the beginning of a file, by which it is told what it is; empty where it can't be read.
+func headOf(path string, size int) string {
 	file, err := os.Open(path)
 	if err != nil {
-		return errOther
+		return ""
 	}
+	defer file.Close()
+	head := make([]byte, size)
 	n, _ := file.Read(head)
-	file.Close()
-	if n < 9 || head[8] != '\n' || strings.Trim(string(head[:8]), "0123456789abcdef") != "" {
+	return string(head[:n])
+}
+
+func taken(path string, f *Found) error {
+	head := headOf(path, 9)
+	if len(head) < 9 || head[8] != '\n' || strings.Trim(head[:8], "0123456789abcdef") != "" {
 		return errOther
 	}
 	service, seen, err := fence.Look(path)
@@ -208,14 +214,7 @@
 }
 
 func sign(path string, f *Found) error {
-	head := make([]byte, 8)
-	file, err := os.Open(path)
-	if err != nil {
-		return errOther
-	}
-	n, _ := file.Read(head)
-	file.Close()
-	if !strings.HasPrefix(string(head[:n]), `{"sign"`) {
+	if !strings.HasPrefix(headOf(path, 8), `{"sign"`) {
 		return errOther
 	}
 	s, err := life.Read(path)
