Connections end by a lingering close, and never with a request unread

Read line by line for what may come as a connection ends. A search found no half close in the MessagePack-RPC front, and four ways to lose an answer or a request, each shown over loopback sockets:

- conn.Close over unread bytes reset the connection with its last answers (msgpackrpc Serve and fail, front room and SetMost): a client read 'connection reset by peer' in place of the end.
Now the sending half ends first and what comes is read for 50 ms and 64 KB.
- A connection was idle as soon as its answer was settled, not written (msgpackrpc answer): a newcomer could cut it in the write.
- The idle connection that gives way was closed whatever had just come on it.
Now it is looked at first, and what is read after the decision is not taken (Slot.Asked), so nothing runs whose answer could not arrive.
- Half a message, garbage and a slow peer cost all open requests of their connection their answers.
Now they are answered first.
- A listener's close reset who waited to be accepted.
Now they are taken in first; at the end of a drain resting connections are ended one by one before the process is.

Accepting under EMFILE logged a hundred lines a second and freed nothing: one a second now, and the connection missed least gives way. Lines about peers are one a second (ten before). The lingering of SCGI is bounded in bytes too; operators' front, SCGI and MessagePack-RPC share internal/linger. A reply below with more than its length, or without one, is a failure and no result; an end of a run that can't be read fails it at once; a link to the interpreter that is silent for 10 s is taken anew; a service that had no socket to report by at its start now tries again with every report, where it stayed unknown for good.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -22,6 +22,7 @@
 	name string
 	good func() bool
 	log  *log.Logger
+	dial func(network, addr string) (net.Conn, error)
 
 	mu    sync.Mutex
 	addr  string
@@ -31,7 +32,7 @@
 
 // New returns a Reporter for the service of that name; good tells its health. An empty address is none.
 func New(addr, name string, good func() bool, l *log.Logger) *Reporter {
-	return &Reporter{name: name, good: good, log: l, addr: addr, moved: make(chan struct{}, 1)}
+	return &Reporter{name: name, good: good, log: l, dial: net.Dial, addr: addr, moved: make(chan struct{}, 1)}
 }
 
 // Move sends the reports to another address from now on, the next one at once.
@@ -52,22 +53,36 @@
 	r.mu.Unlock()
 }
 
+// sayEvery is the least time between two lines that no report can be sent.
+const sayEvery = 10 * time.Second
+
 // Keep reports until the context ends. A report that can't be sent is let go: the next one comes soon, and the
-// announce service may be down.
+// announce service may be down. Where there is no socket to send by, as no descriptor or no route is left, the next
+// report tries again to have one: a service that gave up here would stay unknown for good.
 func (r *Reporter) Keep(ctx context.Context) {
 	tick := time.NewTicker(Every)
 	defer tick.Stop()
 	var conn net.Conn
+	var said time.Time
 	at := ""
 	for {
 		r.mu.Lock()
 		addr, quiet := r.addr, r.quiet
 		r.mu.Unlock()
-		if addr != at {
-			if conn != nil {
-				conn.Close()
+		if addr != at && conn != nil {
+			conn.Close()
+			conn = nil
+		}
+		at = addr
+		if conn == nil && addr != "" {
+			var err error
+			if conn, err = r.dial("udp", addr); err != nil {
+				conn = nil
+				if time.Since(said) >= sayEvery {
+					said = time.Now()
+					events.Say(r.log, "announce.failed", err)
+				}
 			}
-			conn, at = r.dial(addr), addr
 		}
 		if conn != nil && !quiet {
 			conn.Write(report(r.name, r.good()))
@@ -84,16 +99,4 @@
 	}
 }
 
-func (r *Reporter) dial(addr string) net.Conn {
-	if addr == "" {
-		return nil
-	}
-	conn, err := net.Dial("udp", addr)
-	if err != nil {
-		events.Say(r.log, "announce.failed", err)
-		return nil
-	}
-	return conn
-}
-
 func report(name string, good bool) []byte { return fmt.Appendf(nil, "announce %s %t", name, good) }
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -6,8 +6,12 @@
 	"log"
 	"math"
 	"net"
+	"slices"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -63,6 +67,53 @@
 	<-done
 }
 
+// A service that has no socket to report by at first, or at a new address, reports as soon as it can have one, and says so
+// once.
+func TestNoSocketAtFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		r := New("a", "n3", func() bool { return true }, log.New(&out, "", 0))
+		var got []string
+		fails := 20
+		r.dial = func(_, addr string) (net.Conn, error) {
+			if fails--; fails >= 0 {
+				return nil, syscall.EMFILE
+			}
+			near, far := net.Pipe()
+			go func() {
+				for b := make([]byte, 100); ; {
+					n, err := far.Read(b)
+					if err != nil {
+						return
+					}
+					got = append(got, addr+": "+string(b[:n]))
+				}
+			}()
+			return near, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.Keep(ctx)
+		}()
+		time.Sleep(20*Every + Every/2)
+		synctest.Wait()
+		if want := []string{"a: announce n3 true"}; !slices.Equal(got, want) || strings.Count(out.String(), "\n") != 1 {
+			t.Fatalf("reports %q, log %q", got, out.String())
+		}
+		got, fails = nil, 1
+		r.Move("b")
+		time.Sleep(Every)
+		synctest.Wait()
+		if want := []string{"b: announce n3 true"}; !slices.Equal(got, want) {
+			t.Fatalf("reports after the move: %q", got)
+		}
+		cancel()
+		<-done
+	})
+}
+
 // With one report in four lost, an entry that lapses after 3 s must not lapse in a month of reports.
 func TestOften(t *testing.T) {
 	lost := math.Pow(0.25, math.Floor(float64(3*time.Second-Every)/float64(Every)))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"net"
 	"os"
@@ -17,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"silverpath/internal/events"
+	"silverpath/internal/linger"
 	"silverpath/internal/pools"
 	"silverpath/internal/stats"
 )
@@ -33,17 +35,82 @@
 	cut   chan struct{} // closed as the connection gives way to another
 
 	// Under the owner's lock:
-	open  int // requests
-	since time.Time
-	told  bool // the peer was asked to leave
-	asked int  // whole messages that came
+	open  int       // requests whose answers are not written
+	since time.Time // of what came or went last
+	told  bool      // the peer was asked to leave
+	asked int       // whole messages that came
+	taken bool      // one of them is being seen to
+	ended bool      // its place is given up: nothing that comes is taken any more
+	until time.Time // it lingers; zero: it does not yet
 }
 
-// Asked notes that a whole message has come.
-func (s *Slot) Asked() {
+// Asked notes that a whole message has come. It reports false where the connection's place was given up before: then the
+// message must not be taken, since what is answered would not arrive.
+func (s *Slot) Asked() bool {
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
+	if s.ended {
+		return false
+	}
 	s.asked++
+	s.taken, s.since = true, time.Now()
+	return true
+}
+
+// Rest notes that the message that came last is seen to: it is answered, or its request is open.
+func (s *Slot) Rest() {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	s.taken, s.since = false, time.Now()
+}
+
+// idle reports whether nobody would lose anything by the connection's end, for at least so long. Half a message is no
+// request. It is called under the owner's lock.
+func (s *Slot) idle(least time.Duration) bool {
+	return s.open == 0 && !s.taken && !s.ended && time.Since(s.since) >= least
+}
+
+// giveUp ends an idle connection, unless something has come on it that was not read yet. Who never asked has no answer on its
+// way; of others the sending half ends first, so that their last answers arrive, and they have lingerFor to end theirs.
+// Whatever is read from now on is not taken: Asked says no.
+func (s *Slot) giveUp(least time.Duration) bool {
+	l := s.owner
+	l.mu.Lock()
+	ok := s.idle(least) && linger.Look(s.conn) != linger.Unread
+	s.ended = s.ended || ok
+	if ok {
+		s.until = time.Now().Add(l.linger)
+	}
+	asked, until := s.asked > 0, s.until
+	l.mu.Unlock()
+	if !ok {
+		return false
+	}
+	if asked && linger.Half(s.conn) {
+		s.conn.SetReadDeadline(until)
+	} else {
+		s.conn.Close()
+	}
+	return true
+}
+
+// Ended reports whether the connection's place was given up.
+func (s *Slot) Ended() bool {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	return s.ended
+}
+
+// Linger ends a connection on which all answers are written, so that they arrive; r holds what was read of it already.
+func (s *Slot) Linger(r io.Reader) {
+	s.owner.mu.Lock()
+	s.ended = true
+	if s.until.IsZero() {
+		s.until = time.Now().Add(s.owner.linger)
+	}
+	left := time.Until(s.until)
+	s.owner.mu.Unlock()
+	linger.Close(s.conn, r, left, mostAfter)
 }
 
 // Say logs what was wrong with a peer. Whoever floods the service floods no log: of many lines a second the
@@ -125,6 +192,7 @@
 	stats  *stats.Counters
 
 	began   time.Time
+	linger  time.Duration  // lingerFor, but in tests
 	reserve *pools.Reserve // nil: none; under the lock
 
 	mu       sync.Mutex
@@ -134,10 +202,15 @@
 	freed    chan struct{}
 	draining bool
 	closed   bool
-	gaveWay  int // connections that asked too much; the accepting goroutine's own
+	closedAt time.Time
+	gaveWay  int  // connections that asked too much; the accepting goroutine's own
+	accepts  bool // Serve runs
 	serving  sync.WaitGroup
 	logSince time.Time // of the second in which logged lines are counted
 	logged   int
+	said     time.Time // that accepting fails; the accepting goroutine's own
+	// foreign: another process accepts on the same socket, so that who waits there is not this one's to take in at the end.
+	foreign bool
 }
 
 // WholeWithin is how long a peer has for its first whole message from its connecting, and for each further one
@@ -151,7 +224,7 @@
 
 const (
 	sweepEvery = 250 * time.Millisecond
-	mostLines  = 10 // logged in a second about peers
+	mostLines  = 1 // logged in a second about peers
 	// evictPause follows every evictBurst connections that gave way since they ask too much: who does so comes back at
 	// once, and its coming and going must not take the process's time.
 	evictPause = time.Millisecond
@@ -159,6 +232,14 @@
 	// idleGrace is the least time that a connection over the budget must have idled: a request that crosses
 	// its close within 50 ms is sent again, one that was under way before would be lost.
 	idleGrace = 100 * time.Millisecond
+	// lingerFor and mostAfter bound what is read of a connection after its last answer.
+	lingerFor = 50 * time.Millisecond
+	mostAfter = 64 << 10 // bytes
+	// lastAccepts is for how long after its closing a listener still takes in who waits, however many come.
+	lastAccepts = time.Second
+	acceptPause = 10 * time.Millisecond // after a failure to accept
+	sayEvery    = time.Second           // of lines that accepting fails
+	endLook     = 2 * time.Millisecond  // between two looks at connections that are to end
 )
 
 // Listen opens a front's address for at most the given number of connections. The idle function tells how
@@ -209,7 +290,7 @@
 func New(name string, ln net.Listener, most int, idle func() time.Duration, handle Handler, l *log.Logger, s *stats.Counters) *Listener {
 	return &Listener{
 		name: name, ln: ln, most: max(1, most), handle: handle, idle: idle, log: l, stats: s,
-		began: time.Now(), slots: map[*Slot]bool{}, byID: map[uint64]*Slot{}, freed: make(chan struct{}, 1),
+		began: time.Now(), linger: lingerFor, slots: map[*Slot]bool{}, byID: map[uint64]*Slot{}, freed: make(chan struct{}, 1),
 	}
 }
 
@@ -238,15 +319,24 @@
 	defer close(done)
 	go l.sweep(done)
 	waits := l.stats.Timing("room", l.name)
+	l.mu.Lock()
+	l.accepts = true
+	l.mu.Unlock()
 	for {
-		conn, err := l.ln.Accept()
+		conn, err := l.accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			l.stats.Inc("accept_failed", l.name)
-			events.Say(l.log, "front.accepting", l.name, err)
-			time.Sleep(10 * time.Millisecond) // out of descriptors: some will come free
+			if now := time.Now(); now.Sub(l.said) >= sayEvery {
+				l.said = now
+				events.Say(l.log, "front.accepting", l.name, err)
+			}
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				l.makeRoom() // no descriptor is left for who waits: the one that is missed least gives way
+			}
+			time.Sleep(acceptPause)
 			continue
 		}
 		l.stats.Inc("connections", l.name)
@@ -272,6 +362,47 @@
 	}
 }
 
+// accept waits for the next connection. Once the listener is closing it takes in who waits already, whose bytes may lie on
+// this machine: to close the socket over them would lose their requests. Then it closes the socket.
+func (l *Listener) accept() (net.Conn, error) {
+	conn, err := l.ln.Accept()
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return conn, err
+	}
+	l.mu.Lock()
+	late := time.Since(l.closedAt) > lastAccepts
+	l.mu.Unlock()
+	last := l.ln.(deadliner)
+	if late || !waits(l.ln) {
+		l.ln.Close()
+		return nil, net.ErrClosed
+	}
+	last.SetDeadline(time.Now().Add(lastAccepts))
+	conn, err = l.ln.Accept()
+	last.SetDeadline(time.Now().Add(-time.Second))
+	if err == nil {
+		l.stats.Inc("accepted_last", l.name)
+	}
+	return conn, err
+}
+
+// waits reports whether somebody waits to be accepted.
+func waits(ln net.Listener) bool {
+	s, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	raw.Control(func(fd uintptr) { n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) })
+	return n > 0
+}
+
+type deadliner interface{ SetDeadline(t time.Time) error }
+
 func (l *Listener) free(s *Slot) {
 	s.conn.Close()
 	l.mu.Lock()
@@ -322,17 +453,8 @@
 				continue
 			}
 		}
-		var least *Slot
-		for s := range l.slots {
-			if s.open == 0 && time.Since(s.since) >= idleGrace && (least == nil || s.before(least)) {
-				least = s
-			}
-		}
 		l.mu.Unlock()
-		if least != nil {
-			l.stats.Inc("evicted", l.name)
-			least.conn.Close()
-		}
+		l.makeRoom()
 		select {
 		case <-l.freed:
 		case <-time.After(idleGrace / 2):
@@ -340,6 +462,43 @@
 	}
 }
 
+// makeRoom has the idle connection that is missed least give way, where there is one.
+func (l *Listener) makeRoom() {
+	l.mu.Lock()
+	var idle []*Slot
+	for s := range l.slots {
+		if s.idle(idleGrace) {
+			idle = append(idle, s)
+		}
+	}
+	l.mu.Unlock()
+	l.giveWay(idle, 1)
+}
+
+// giveWay has so many of the connections give way, those that are missed least first. One on which something has come stays.
+func (l *Listener) giveWay(idle []*Slot, most int) {
+	l.mu.Lock() // what they are compared by changes under it
+	slices.SortFunc(idle, func(a, b *Slot) int {
+		switch {
+		case a.before(b):
+			return -1
+		case b.before(a):
+			return 1
+		}
+		return 0
+	})
+	l.mu.Unlock()
+	for _, s := range idle {
+		if most <= 0 {
+			return
+		}
+		if s.giveUp(idleGrace) {
+			most--
+			l.stats.Inc("evicted", l.name)
+		}
+	}
+}
+
 // sweep asks connections that idle for too long to leave.
 func (l *Listener) sweep(done <-chan struct{}) {
 	tick := time.NewTicker(sweepEvery)
@@ -354,7 +513,7 @@
 		if after <= 0 {
 			continue
 		}
-		l.ask(func(s *Slot) bool { return s.open == 0 && time.Since(s.since) >= after })
+		l.ask(func(s *Slot) bool { return s.idle(after) })
 	}
 }
 
@@ -363,7 +522,7 @@
 	l.mu.Lock()
 	var list []func()
 	for s := range l.slots {
-		if !s.told && s.leave != nil && which(s) {
+		if !s.told && !s.ended && s.leave != nil && which(s) {
 			s.told = true
 			list = append(list, s.leave)
 		}
@@ -381,21 +540,12 @@
 	over := len(l.slots) - l.most
 	var idle []*Slot
 	for s := range l.slots {
-		if s.open == 0 && time.Since(s.since) >= idleGrace {
+		if s.idle(idleGrace) {
 			idle = append(idle, s)
 		}
 	}
 	l.mu.Unlock()
-	slices.SortFunc(idle, func(a, b *Slot) int {
-		if a.before(b) {
-			return -1
-		}
-		return 1
-	})
-	for _, s := range idle[:min(len(idle), max(0, over))] {
-		l.stats.Inc("evicted", l.name)
-		s.conn.Close()
-	}
+	l.giveWay(idle, over)
 }
 
 // Drain asks every peer, and those still to come, to leave.
@@ -406,14 +556,54 @@
 	l.ask(func(*Slot) bool { return true })
 }
 
-// Close accepts no more connections; those there are go on.
+// Foreign tells that another process accepts on the same socket. It is called before Serve.
+func (l *Listener) Foreign() { l.foreign = true }
+
+// Close accepts no more connections than those that wait already; those there are go on. The socket closes at once where
+// nobody serves it, or another process takes who waits, and soon after otherwise.
 func (l *Listener) Close() {
 	l.mu.Lock()
+	was, accepts := l.closed, l.accepts
 	l.closed = true
+	if !was {
+		l.closedAt = time.Now()
+	}
 	l.mu.Unlock()
+	if last, can := l.ln.(deadliner); can && accepts && !l.foreign {
+		if !was {
+			last.SetDeadline(time.Now().Add(-time.Second))
+		}
+		return
+	}
 	l.ln.Close()
 }
 
+// End ends the connections there are, within the time given: each as soon as all that came on it is read and answered, and
+// at last what is left. What is read from then on is not taken. It returns once their goroutines have ended, or the time is
+// over.
+func (l *Listener) End(within time.Duration) {
+	until := time.Now().Add(within)
+	for {
+		left := time.Until(until)
+		l.mu.Lock()
+		n := len(l.slots)
+		list := make([]*Slot, 0, n)
+		for s := range l.slots {
+			if !s.ended {
+				list = append(list, s)
+			}
+		}
+		l.mu.Unlock()
+		if n == 0 || left <= 0 {
+			return
+		}
+		for _, s := range list {
+			s.giveUp(0)
+		}
+		time.Sleep(min(left, endLook))
+	}
+}
+
 // Connections is the number of connections there are.
 func (l *Listener) Connections() int {
 	l.mu.Lock()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -28,11 +28,11 @@
 				defer mu.Unlock()
 				asked++
 			})
-			for b := []byte{0}; ; s.Open(int(b[0])) {
-				if _, err := conn.Read(b); err != nil {
+			for b := []byte{0}; ; s.Rest() {
+				if _, err := conn.Read(b); err != nil || !s.Asked() {
 					return
 				}
-				s.Asked()
+				s.Open(int(b[0]))
 			}
 		}
 		l := New("test", p, 2, func() time.Duration { return idle }, handle, log.New(io.Discard, "", 0), &stats.Counters{})
@@ -170,11 +170,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := pipes.Listen()
 		handle := func(conn net.Conn, s *Slot) {
-			for b := []byte{0}; ; {
-				if _, err := conn.Read(b); err != nil {
+			for b := []byte{0}; ; s.Rest() {
+				if _, err := conn.Read(b); err != nil || !s.Asked() {
 					return
 				}
-				s.Asked()
 				if b[0] == 1 {
 					s.Cheap()
 				} else if !s.Work() {
--- a/internal/interp/interp.go
+++ b/internal/interp/interp.go
@@ -43,6 +43,10 @@
 	moveRef      = "move" // of the one whose answer shows that all earlier commands have arrived
 	// moveWithin is how long a link that is left for another address may take to bring that answer.
 	moveWithin = 500 * time.Millisecond
+	// silentFor and silentProbes are when a live link on which nothing comes is taken to be broken. Its gauges are asked for
+	// forty times a second, so silence is never a want of news; and a process that stood still itself has asked only once.
+	silentFor    = 10 * time.Second
+	silentProbes = 40
 )
 
 // Link runs requests on the interpreter. It is the core's Runner.
@@ -63,6 +67,9 @@
 	leaving bool // this link is left for another address
 	last    int64
 	down    time.Time // when the last live link broke; zero where it was left
+	heard   time.Time // when something came last on the present link
+	probes  int       // since then
+	silent  bool      // this link is given up as nothing comes on it
 }
 
 type job struct {
@@ -120,9 +127,16 @@
 func (l *Link) Probe() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.live {
-		l.send(command{line: object("type", "TOP", "ref", "tick")})
+	if !l.live {
+		return
 	}
+	if l.probes++; l.probes > silentProbes && time.Since(l.heard) >= silentFor && !l.silent {
+		l.silent = true
+		l.stats.Inc("interpreter", "silent")
+		l.cut()
+		return
+	}
+	l.send(command{line: object("type", "TOP", "ref", "tick")})
 }
 
 func (l *Link) send(c command) {
@@ -189,6 +203,9 @@
 	}
 }
 
+// errSilent ends a link on which nothing comes.
+var errSilent = fmt.Errorf("nothing was heard for %v", silentFor)
+
 // errMoved ends a link that is left for another address.
 var errMoved = errors.New("left for another address")
 
@@ -219,6 +236,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	live, left = l.live || l.leaving, l.leaving
+	if l.silent {
+		err = errSilent
+	}
+	l.silent = false
 	if l.live && !l.leaving {
 		l.down = time.Now()
 	}
@@ -285,6 +306,9 @@
 		if err != nil {
 			return fmt.Errorf("reading: %w", err)
 		}
+		l.mu.Lock()
+		l.heard, l.probes = time.Now(), 0
+		l.mu.Unlock()
 		v, err := p.ParseBytes(line)
 		if err != nil {
 			return fmt.Errorf("a notice that is not JSON: %w", err)
@@ -338,6 +362,7 @@
 		data = make([]byte, base64.StdEncoding.DecodedLen(len(d)))
 		n, err := base64.StdEncoding.Decode(data, d)
 		if err != nil {
+			l.ended(id, silverpath.Failed, 0, nil) // its number is passed, so that it comes no more
 			return fmt.Errorf("%s: data: %w", kind, err)
 		}
 		data = data[:n]
@@ -363,6 +388,7 @@
 	case "VALUE":
 		o, ok := ends[string(v.GetStringBytes("state"))]
 		if !ok {
+			l.ended(id, silverpath.Failed, 0, nil) // likewise: nobody else will tell how the run ended
 			return fmt.Errorf("VALUE: state: unknown: %q", v.GetStringBytes("state"))
 		}
 		l.ended(id, o, time.Duration(v.GetFloat64("took")*float64(time.Millisecond)), data)
--- a/internal/interp/interp_test.go
+++ b/internal/interp/interp_test.go
@@ -248,6 +248,67 @@
 	})
 }
 
+// An end that can't be read is a failure at once, never a result, and the run's waiters wait no longer; the next link goes on
+// after it.
+func TestSpoiltEnds(t *testing.T) {
+	for _, bad := range []string{
+		`{"type":"VALUE","n":1,"job":"a","state":"ODD","data":"eA=="}`, `{"type":"VALUE","n":1,"job":"a","data":"eA=="}`,
+		`{"type":"VALUE","n":1,"job":"a","state":"PASS","data":"*"}`, `{"type":"AWAIT","n":1,"job":"a","data":"eA"}`,
+	} {
+		play(t, func(l *Link, h *heard, next func() *machine) {
+			m := next()
+			m.say(banner, tops)
+			l.Run("a", "krog", []byte("x"))
+			h.take()
+			m.say(bad)
+			if got, want := h.take(), []string{`ended a 1 0s ""`}; !slices.Equal(got, want) {
+				t.Fatalf("%s: heard %q, want %q", bad, got, want)
+			}
+			m = next()
+			m.reads(`{"type":"CONNECT","n":1}`)
+		})
+	}
+}
+
+// A link on which nothing comes while the gauges are asked for is taken to be broken, and the next one goes on where it
+// ended. One that answers is not, nor is one whose service itself stood still.
+func TestSilentLink(t *testing.T) {
+	play(t, func(l *Link, h *heard, next func() *machine) {
+		m := next()
+		m.say(banner, tops)
+		ask := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(25 * time.Millisecond) {
+				l.Probe()
+				synctest.Wait()
+				for len(m.in) > 0 {
+					<-m.in
+				}
+			}
+		}
+		m.say(`{"type":"TRACE","n":5,"state":"x"}`)
+		ask(silentFor - time.Second)
+		m.say(tops)
+		ask(silentFor - time.Second)
+		m.say(tops)
+		time.Sleep(time.Hour) // nobody asks
+		ask(500 * time.Millisecond)
+		if n := l.stats.Get("interpreter", "silent"); n != 0 {
+			t.Fatalf("given up %d times while it answers", n)
+		}
+		m.say(tops)
+		ask(silentFor + time.Second)
+		if n := l.stats.Get("interpreter", "silent"); n != 1 {
+			t.Fatalf("given up %d times while it is silent", n)
+		}
+		m = next()
+		m.reads(`{"type":"CONNECT","n":5}`)
+		m.say(`{"type":"BANNER","state":"LOADED","took":3600000}`, tops)
+		if got := h.take(); !slices.Contains(got, "up") {
+			t.Fatalf("heard %q", got)
+		}
+	})
+}
+
 // A start that was refused on its only link never ran; one that went out on two may have run on the first.
 func TestRefusedStart(t *testing.T) {
 	play(t, func(l *Link, h *heard, next func() *machine) {
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -17,12 +17,10 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"silverpath/internal/events"
+	"silverpath/internal/linger"
 	"silverpath/internal/stats"
 )
 
@@ -44,9 +42,9 @@
 	grace        = 50 * time.Millisecond
 	mostGrace    = 500 * time.Millisecond // of one that always has a byte more to send
 	writeTimeout = 2 * time.Second
-	// linger is how long what a caller still sends is read after its answer: to close on unread bytes would reset the
+	// lingerFor is how long what a caller still sends is read after its answer: to close on unread bytes would reset the
 	// connection, and the answer might be lost with it.
-	linger    = 200 * time.Millisecond
+	lingerFor = 200 * time.Millisecond
 	mostAfter = 64 << 10
 	logEvery  = time.Second // lines about bad calls, at most
 )
@@ -267,23 +265,7 @@
 // the service for it: on a busy core its goroutine may have had no turn yet.
 func (p *place) stalled() bool {
 	age := time.Since(p.since)
-	return age >= mostGrace || age >= grace && !p.unread()
-}
-
-func (p *place) unread() (some bool) {
-	c, ok := p.conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	raw.Control(func(fd uintptr) {
-		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		some = err == nil && n > 0
-	})
-	return some
+	return age >= mostGrace || age >= grace && linger.Look(p.conn) != linger.Unread
 }
 
 func (s *Server) free(p *place) {
@@ -324,11 +306,7 @@
 	if err == nil && r.Buffered() > 0 {
 		s.stats.Inc("pipelined", Name) // one call a connection: what follows it is not made
 	}
-	if half, ok := conn.(*net.TCPConn); ok {
-		half.CloseWrite()
-	}
-	conn.SetReadDeadline(time.Now().Add(linger))
-	io.CopyN(io.Discard, conn, mostAfter)
+	linger.Close(conn, nil, lingerFor, mostAfter)
 }
 
 // calls are what may be called for.
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"silverpath/internal/linger"
 	"silverpath/internal/stats"
 )
 
@@ -183,9 +184,10 @@
 		defer far.Close()
 		io.WriteString(near, text)
 		p := &place{conn: far, since: time.Now().Add(-grace)}
-		for deadline := time.Now().Add(10 * time.Second); p.unread() != (text != ""); time.Sleep(time.Millisecond) {
+		unread := func() bool { return linger.Look(far) == linger.Unread }
+		for deadline := time.Now().Add(10 * time.Second); unread() != (text != ""); time.Sleep(time.Millisecond) {
 			if time.Now().After(deadline) {
-				t.Fatalf("unread is %v of %q", p.unread(), text)
+				t.Fatalf("unread is %v of %q", unread(), text)
 			}
 		}
 		s.places = append(s.places, p)
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -62,6 +62,7 @@
 
 	mu     sync.Mutex
 	open   map[uint64]string // request ids by message id
+	unsent int               // answers that are being written
 	called bool              // lastCall was sent
 	broken bool
 
@@ -97,23 +98,26 @@
 			break
 		}
 		conn.SetReadDeadline(time.Time{})
-		slot.Asked()
+		if !slot.Asked() {
+			break // its place was given up as this came: nothing of it ran
+		}
 		err = c.take(m, &requests)
+		slot.Rest()
 	}
+	// What comes to a half is no request. It costs nobody an answer: what was asked before it is answered as long as the
+	// other side may read.
 	switch {
-	case err == io.EOF: // the other side may still read: what it asked is answered
+	case err == nil || err == io.EOF || errors.Is(err, os.ErrDeadlineExceeded) && slot.Ended():
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		f.stats.Inc("too_slow", Name)
-		c.fail()
 	case errors.Is(err, errMalformed) || errors.Is(err, io.ErrUnexpectedEOF):
 		f.stats.Inc("malformed", Name)
 		slot.Say("front.closed", Name, conn.RemoteAddr(), err)
-		c.fail()
 	default:
 		c.fail()
 	}
 	requests.Wait()
-	conn.Close()
+	slot.Linger(r)
 }
 
 // take does what one message asks.
@@ -125,7 +129,7 @@
 			c.mu.Lock()
 			id := c.open[m.id]
 			delete(c.open, m.id)
-			c.slot.Open(len(c.open))
+			c.slot.Open(len(c.open) + c.unsent)
 			c.mu.Unlock()
 			if id != "" {
 				c.core.Gone(id)
@@ -167,7 +171,7 @@
 	many := len(c.open) >= mostOpen
 	if problem == "" && !many {
 		c.open[m.id] = r.ID
-		c.slot.Open(len(c.open))
+		c.slot.Open(len(c.open) + c.unsent)
 	}
 	c.mu.Unlock()
 	switch {
@@ -284,12 +288,17 @@
 	open := c.open[id] == request
 	if open {
 		delete(c.open, id)
-		c.slot.Open(len(c.open))
+		c.unsent++ // until it is written the connection is not idle
 	}
 	c.mu.Unlock()
-	if open {
-		c.reply(id, a)
+	if !open {
+		return
 	}
+	c.reply(id, a)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsent--
+	c.slot.Open(len(c.open) + c.unsent)
 }
 
 func (c *client) reply(id uint64, a core.Answer) {
--- a/internal/scgi/front.go
+++ b/internal/scgi/front.go
@@ -20,6 +20,7 @@
 	"silverpath/internal/buf"
 	"silverpath/internal/core"
 	"silverpath/internal/front"
+	"silverpath/internal/linger"
 	"silverpath/internal/settings"
 	"silverpath/internal/stats"
 )
@@ -40,9 +41,11 @@
 
 const (
 	writeTimeout = 2 * time.Second
-	lingerFor    = time.Second // for what a client still sends after an answer that did not wait for it
-	longestWait  = time.Hour
-	longestKey   = 128
+	// lingerFor and mostAfter bound what is read of a client after an answer that did not wait for all that it sends.
+	lingerFor   = time.Second
+	mostAfter   = 1 << 20 // bytes
+	longestWait = time.Hour
+	longestKey  = 128
 )
 
 // Front serves web fronts.
@@ -92,7 +95,7 @@
 		f.stats.Inc("status", Name)
 		slot.Cheap()
 		f.write(conn, statusOf[core.Served], f.core.Status(), "application/json", "Cache-Control", "no-store")
-		linger(conn, r)
+		linger.Close(conn, r, lingerFor, mostAfter)
 		return
 	}
 	if err == nil {
@@ -110,7 +113,7 @@
 			if refused {
 				f.reply(conn, a)
 				if uint64(r.Buffered()) < m.size { // else all has come, and a plain close resets nothing
-					linger(conn, r)
+					linger.Close(conn, r, lingerFor, mostAfter)
 				}
 				return
 			}
@@ -120,10 +123,15 @@
 	if err == nil {
 		var q core.Request
 		if q, err = f.mapRequest(m, time.Now(), conn.RemoteAddr()); err == nil {
+			if !slot.Asked() {
+				return // its place was given up as it came: nothing of it ran
+			}
 			conn.SetReadDeadline(time.Time{})
-			slot.Asked()
 			slot.Open(1)
-			f.serve(conn, r, q)
+			f.serve(conn, r, q, func() { // its place may now go to whoever has more need of it
+				slot.Open(0)
+				slot.Rest()
+			})
 			return
 		}
 	}
@@ -145,21 +153,30 @@
 	f.stats.Inc(p.count, Name)
 	slot.Say("scgi.unread", Name, p.status, conn.RemoteAddr(), p.text)
 	f.write(conn, p.status, []byte(p.text+"\n"), "text/plain")
-	linger(conn, r)
+	linger.Close(conn, r, lingerFor, mostAfter)
 }
 
 // serve leads one request through the core and watches meanwhile whether its caller leaves. A caller that
-// closes its connection has left; the run of a keyed request goes on, and a retry takes its result.
-func (f *Front) serve(conn net.Conn, r *bufio.Reader, q core.Request) {
+// closes its connection has left; the run of a keyed request goes on, and a retry takes its result. Rest is called once
+// the answer is written.
+func (f *Front) serve(conn net.Conn, r *bufio.Reader, q core.Request, rest func()) {
 	replied := make(chan struct{})
 	go f.core.Serve(q, func(a core.Answer) {
 		f.reply(conn, a, "X-Request-Id", q.ID)
 		close(replied)
-		linger(conn, nil)
+		if !linger.Half(conn) {
+			conn.Close()
+		}
+		conn.SetReadDeadline(time.Now().Add(lingerFor))
+		rest()
 	})
 	var err error
-	for err == nil { // what comes after a request means nothing
-		_, err = r.Discard(1)
+	for n := 0; err == nil; n++ { // what comes after a request means nothing
+		if _, err = r.Discard(1); n == mostAfter {
+			f.stats.Inc("surplus", Name)
+			<-replied // its answer is still owed, and nothing more is read
+			return
+		}
 	}
 	select {
 	case <-replied:
@@ -204,21 +221,6 @@
 	}
 }
 
-// linger ends a connection so that the answer arrives. Closing one with bytes unread resets it, and a reset
-// can overtake the answer; so the sending half is closed first, and what still comes is read for a while. With
-// a nil reader somebody else reads.
-func linger(conn net.Conn, r *bufio.Reader) {
-	half, ok := conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		conn.Close()
-		return
-	}
-	conn.SetReadDeadline(time.Now().Add(lingerFor))
-	if r != nil {
-		io.Copy(io.Discard, r)
-	}
-}
-
 // mapRequest makes a request of an SCGI message.
 func (f *Front) mapRequest(m message, now time.Time, from net.Addr) (core.Request, error) {
 	bad := func(header string) (core.Request, error) {
--- a/internal/scgi/scgi_test.go
+++ b/internal/scgi/scgi_test.go
@@ -294,7 +294,7 @@
 		}
 		go func() {
 			defer close(done)
-			f.serve(far, bufio.NewReader(strings.NewReader("")), q) // the sending half has ended
+			f.serve(far, bufio.NewReader(strings.NewReader("")), q, func() {}) // the sending half has ended
 		}()
 		id := <-started
 		if half {
--- a/internal/service/drain.go
+++ b/internal/service/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"silverpath/internal/events"
@@ -40,6 +41,10 @@
 	}
 	end := time.NewTimer(stop - exitBefore - time.Since(began))
 	defer end.Stop()
+	finish := time.NewTimer(stop - exitBefore - endFor - time.Since(began))
+	defer finish.Stop()
+	var ending sync.WaitGroup
+	defer ending.Wait()
 	tick := time.NewTicker(settle)
 	defer tick.Stop()
 	quiet := 0
@@ -51,6 +56,10 @@
 				return fmt.Errorf("drain: %d requests were not answered before the end", n)
 			}
 			quiet, listening = 2, false
+		case <-finish.C: // what comes to rest until the end is ended then
+			for _, l := range s.listeners {
+				ending.Go(func() { l.End(endFor) })
+			}
 		case <-tick.C:
 			quiet++
 			if listening && (s.core.Successor() || time.Now().After(lastTaken)) {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -44,6 +44,9 @@
 	serveOn = 0.8
 	// listenOn is how long new connections are still taken after peers were asked to leave.
 	listenOn = 50 * time.Millisecond
+	// endFor is for how long, before that, connections on which nothing is owed are ended one by one, so that who rests on
+	// them sees their end and not a reset.
+	endFor = 60 * time.Millisecond
 	// settle is for what may still be under way on the connections when everything read has been answered.
 	settle = 100 * time.Millisecond
 	// A process that another one takes over from is killed so long after the longest deadline, which counts as no more
@@ -143,7 +146,9 @@
 			if err != nil {
 				return fmt.Errorf("LB_SOCKET_FD: %w", err)
 			}
-			s.add(front.New(msgpackrpc.Name, ln, b.Platform, s.core.IdleAfter, f.Serve, s.log, s.stats), b.Platform)
+			held := front.New(msgpackrpc.Name, ln, b.Platform, s.core.IdleAfter, f.Serve, s.log, s.stats)
+			held.Foreign()
+			s.add(held, b.Platform)
 		} else if err := s.listen("listen", msgpackrpc.Name, cfg.Listen, b.Platform, f.Serve); err != nil {
 			return err
 		}
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -12,11 +12,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"silverpath"
 	"silverpath/internal/buf"
+	"silverpath/internal/linger"
 )
 
 const (
@@ -145,6 +145,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { k.Close() })
 	status, unseen, keep, reply, err := k.exchange(id, patience, body)
+	if err == nil && status == 200 && k.r.Buffered() > 0 {
+		// Its length is wrong, or there are two of it: in either case nobody knows what the reply is. A refusal stands, as
+		// nothing of it is handed on.
+		err = errors.New("reading the reply: more came than its length says")
+	}
 	stale = k.reused && err != nil && status == 0
 	// What follows a reply belongs to no call of ours: the connection has lost its place.
 	// And a connection made for one call is not kept: many of those would fill the descriptors.
@@ -183,23 +188,10 @@
 	return &conn{Conn: n, addr: addr, r: buf.Reader(n)}, nil
 }
 
-// quiet reports whether an idle connection is still open and has brought nothing: it looks, and takes nothing.
+// quiet reports whether an idle connection is still open and has brought nothing.
 func quiet(conn net.Conn) bool {
-	s, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	still := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		still = err == syscall.EAGAIN
-	})
-	return err == nil && still
+	state := linger.Look(conn)
+	return state == linger.Quiet || state == linger.Unknown
 }
 
 // put keeps a connection for the next call and closes those that have waited too long.
@@ -354,6 +346,9 @@
 		if _, err := io.ReadFull(r, body); err != nil {
 			return fail("reading the reply's body: %w", err)
 		}
+	case status == 200:
+		// To read to the end would take a reply that broke off for a whole one.
+		return fail("a reply without a length")
 	default:
 		keep = false
 		if body, err = io.ReadAll(io.LimitReader(r, longestBody+1)); err != nil || len(body) > longestBody {
