A start waits for taken addresses, and no notice to leave is lost behind other signals

Seen by tests: a process started while the one before it still has an address ended at once with 'address already in use' (a failed start); SIGTERM shared one channel of eight with SIGHUP and SIGUSR1 and was read by the goroutine that reloads, so one behind a reload that does not end was never heard (service/main.go), and before the service was open there was nobody to hear it.

Now taken addresses are tried again for 8 s and the log says so (listening.taken); notices to leave have a channel of their own and hold at every moment.

--- a/cmd/silverpath/main.go
+++ b/cmd/silverpath/main.go
@@ -5,9 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -64,9 +62,7 @@
 			Use:   "serve",
 			Short: "Run the service until SIGTERM; SIGHUP reloads the configuration, SIGUSR1 prints the counters",
 			RunE: func(*cobra.Command, []string) error {
-				signals := make(chan os.Signal, 8)
-				signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
-				return service.Main(load, signals, os.Stderr)
+				return service.Main(load, service.Listen(), os.Stderr)
 			},
 		}),
 		withConfig(&cobra.Command{
@@ -84,6 +80,7 @@
 			Use:   "route",
 			Short: "Run a router in front of a fleet, whose map the edge file names, until SIGTERM; SIGHUP reads the map again",
 			RunE: func(*cobra.Command, []string) error {
+				signals := service.Listen()
 				router = true
 				cfg, err := load()
 				if err == nil && cfg.Edge.Fleet == nil {
@@ -92,8 +89,6 @@
 				if err != nil {
 					return err
 				}
-				signals := make(chan os.Signal, 8)
-				signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 				return service.Main(load, signals, os.Stderr)
 			},
 		}),
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -42,6 +42,7 @@
 	"interpreter.up":        "interpreter up: {state}, started {took_ms} ms ago",
 	"leaving":               "told to leave: {signal}",
 	"listening":             "{front}: listening on {addr}",
+	"listening.taken":       "an address is taken, tried again for {left}: {why}",
 	"mgmt.bad_call":         "mgmt: {status} to {peer}: {why}",
 	"module":                "module: {text}",
 	"orders.learnt":         "orders: {duty}: epoch {epoch}, step {step}, by the group",
--- /dev/null
+++ b/internal/msgpackrpc/close_test.go
@@ -0,0 +1,192 @@
+package msgpackrpc
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"silverpath"
+	"silverpath/internal/core"
+	"silverpath/internal/front"
+	"silverpath/internal/pipes"
+	"silverpath/internal/stats"
+)
+
+// worker is a stand-in runner whose runs end when the test says so.
+type worker struct {
+	*core.Core
+	runs chan string
+}
+
+func (w worker) Run(id, _ string, _ []byte) { w.runs <- id }
+func (w worker) Resume(string, []byte)      {}
+func (w worker) Probe()                     { w.Gauges(silverpath.Gauges{}) }
+
+// serve serves a listener with at most so many connections.
+func serve(t *testing.T, ln net.Listener, most int) (worker, *front.Listener, *stats.Counters) {
+	t.Helper()
+	counters, quiet := &stats.Counters{}, log.New(io.Discard, "", 0)
+	c, err := core.New(core.Config{Settings: silverpath.Settings{Cores: 4, MemoryKB: 10000, CrowdLimit: 8, CrowdWindow: time.Second,
+		Classes: []silverpath.Class{{Name: "x", Aim: 20 * time.Second, Deadline: 30 * time.Second, Worth: 1}}}, MemoryMB: 16, Log: quiet, Stats: counters})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := worker{c, make(chan string, 100)}
+	if err := c.Attach(w, nil); err != nil {
+		t.Fatal(err)
+	}
+	c.Up()
+	l := front.New(Name, ln, most, func() time.Duration { return 0 }, New(c, quiet, counters).Serve, quiet, counters)
+	go l.Serve()
+	return w, l, counters
+}
+
+func ask(id uint64) []byte {
+	return AppendRequest(nil, id, "x", []byte("body"), "i", fmt.Sprintf("%016x", id), "s", fmt.Sprint(time.Now().UnixMilli()), "d", "30000", "m", "1")
+}
+
+// What a connection brings after a whole request costs that request nothing: half a message that goes no further, or is cut off
+// by the end of what the client sends, and what is no message at all, with much more behind it. The answer arrives, and then the
+// connection ends in good order.
+func TestHalfMessageCostsNobody(t *testing.T) {
+	half := ask(2)[:20]
+	garbage := []byte("\xc1" + strings.Repeat("x", 30000))
+	t.Run("over loopback", func(t *testing.T) {
+		for name, after := range map[string][]byte{"half, and the end": half, "garbage": garbage} {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			w, l, counters := serve(t, ln, 10)
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			conn.SetDeadline(time.Now().Add(20 * time.Second))
+			conn.Write(append(ask(1), after...))
+			if name != "garbage" {
+				conn.(*net.TCPConn).CloseWrite()
+			}
+			id := <-w.runs
+			for counters.Get("malformed", Name) == 0 { // until it has been met
+				time.Sleep(time.Millisecond)
+			}
+			w.Ended(id, silverpath.OK, 0, []byte("done"))
+			r := bufio.NewReader(conn)
+			if a, err := ReadReply(r); err != nil || a.ID != 1 || string(a.Body) != "done" {
+				t.Errorf("%s: %+v, %v", name, a, err)
+			}
+			if _, err := ReadReply(r); err != io.EOF {
+				t.Errorf("%s: the connection ends by %v", name, err)
+			}
+			conn.Close()
+			l.Close()
+			w.Stop()
+		}
+	})
+	t.Run("in simulated time", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := pipes.Listen()
+			w, l, counters := serve(t, p, 10)
+			conn := p.Dial()
+			go conn.Write(append(ask(1), half...)) // and no more
+			id := <-w.runs
+			time.Sleep(2 * front.WholeWithin)
+			if n := counters.Get("too_slow", Name); n != 1 {
+				t.Errorf("%d too slow", n)
+			}
+			go w.Ended(id, silverpath.OK, 0, []byte("done"))
+			if a, err := ReadReply(bufio.NewReader(conn)); err != nil || a.ID != 1 || string(a.Body) != "done" {
+				t.Errorf("%+v, %v", a, err)
+			}
+			conn.Close()
+			l.Close()
+			w.Stop()
+			time.Sleep(time.Minute)
+		})
+	})
+}
+
+// A connection whose answer is still being written is not idle: a newcomer waits rather than cut it off.
+func TestAnswerBeingWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := pipes.Listen()
+		w, l, _ := serve(t, p, 1)
+		conn := p.Dial()
+		go conn.Write(ask(1))
+		id := <-w.runs
+		w.Ended(id, silverpath.OK, 0, []byte("done"))
+		synctest.Wait() // it is being written: a pipe takes it only as it is read
+		next := p.Dial()
+		go next.Write(ask(2))
+		time.Sleep(writeTimeout / 2)
+		if n := len(w.runs); n != 0 {
+			t.Fatal("the newcomer was served before there was room")
+		}
+		if a, err := ReadReply(bufio.NewReader(conn)); err != nil || string(a.Body) != "done" {
+			t.Fatalf("the answer was cut off: %+v, %v", a, err)
+		}
+		w.Ended(<-w.runs, silverpath.OK, 0, []byte("then"))
+		if a, err := ReadReply(bufio.NewReader(next)); err != nil || string(a.Body) != "then" {
+			t.Fatalf("the newcomer: %+v, %v", a, err)
+		}
+		conn.Close()
+		next.Close()
+		l.Close()
+		w.Stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+// What a client that floods a connection with requests sends behind the bound is refused at once and leaves nothing behind, and
+// the answers to what was taken come all the same.
+func TestFloodOfRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := pipes.Listen()
+		w, l, counters := serve(t, p, 10)
+		conn := p.Dial()
+		const sent = 500
+		go func() {
+			for id := range uint64(sent) {
+				conn.Write(ask(id + 1))
+			}
+		}()
+		answers := make(chan Reply, sent)
+		go func() {
+			for r := bufio.NewReader(conn); ; {
+				a, err := ReadReply(r)
+				if err != nil {
+					return
+				}
+				answers <- a
+			}
+		}()
+		began := time.Now()
+		synctest.Wait()
+		if n := counters.Get("turned_away", Name, "too_many_open"); n == 0 || time.Since(began) > 0 {
+			t.Errorf("%d refused at once, %v later", n, time.Since(began))
+		}
+		for n := 0; n < sent; {
+			select {
+			case id := <-w.runs:
+				w.Ended(id, silverpath.OK, 0, nil)
+			case <-answers:
+				n++
+			}
+		}
+		time.Sleep(time.Second) // until the view is made anew
+		if v := w.View(); v.Owed != 0 || v.InHand != 0 {
+			t.Errorf("left behind: %+v", v)
+		}
+		conn.Close()
+		l.Close()
+		w.Stop()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/service/main.go
+++ b/internal/service/main.go
@@ -1,9 +1,11 @@
 package service
 
 import (
+	"errors"
 	"io"
 	"log"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -13,9 +15,21 @@
 	"silverpath/internal/settings"
 )
 
+// Signals are those that a process hears. The notices to leave have a channel of their own, so that none is lost behind
+// whatever else comes.
+type Signals struct{ Leave, Others chan os.Signal }
+
+// Listen has the process hear its signals, from before its start on.
+func Listen() Signals {
+	s := Signals{make(chan os.Signal, 1), make(chan os.Signal, 8)}
+	signal.Notify(s.Leave, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.Others, syscall.SIGHUP, syscall.SIGUSR1)
+	return s
+}
+
 // Main runs a service in this process: its limits, its signals and its last words. Load reads the configuration
-// at the start and again at every SIGHUP.
-func Main(load func() (settings.Config, error), signals <-chan os.Signal, out io.Writer) error {
+// at the start and again at every SIGHUP. A notice to leave holds at every moment, also before the service is open.
+func Main(load func() (settings.Config, error), signals Signals, out io.Writer) error {
 	cfg, err := load()
 	if err != nil {
 		return err
@@ -26,7 +40,16 @@
 	if cfg.JSONLog {
 		l = log.New(events.NewMachine(out, cfg.Name), "", 0)
 	}
-	s, err := New(cfg, l)
+	leave := make(chan struct{})
+	go func() { // ends with the process; a second notice changes nothing
+		events.Say(l, "leaving", <-signals.Leave)
+		close(leave)
+	}()
+	s, err := open(cfg, l, mostTaken, leave)
+	if errors.Is(err, errLeft) {
+		events.Say(l, "exit")
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -39,26 +62,19 @@
 	if s.mgmt != nil {
 		events.Say(l, "listening", mgmt.Name, s.mgmt.Addr())
 	}
-	leave := make(chan struct{})
-	go func() {
-		left := false
-		for sig := range signals {
-			switch {
-			case sig == syscall.SIGUSR1:
+	go func() { // likewise
+		for sig := range signals.Others {
+			if sig == syscall.SIGUSR1 {
 				s.stats.Print(out)
-			case sig == syscall.SIGHUP:
-				cfg, err := load()
-				if err == nil {
-					err = s.Reload(cfg)
-				}
-				if err != nil {
-					s.stats.Inc("reloads", "bad")
-					events.Say(l, "reload.bad", err)
-				}
-			case !left:
-				events.Say(l, "leaving", sig)
-				left = true
-				close(leave)
+				continue
+			}
+			cfg, err := load()
+			if err == nil {
+				err = s.Reload(cfg)
+			}
+			if err != nil {
+				s.stats.Inc("reloads", "bad")
+				events.Say(l, "reload.bad", err)
 			}
 		}
 	}()
--- a/internal/service/operate_test.go
+++ b/internal/service/operate_test.go
@@ -168,7 +168,7 @@
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
 	cfgs, errs := make(chan settings.Config, 8), make(chan error, 8)
 	load := func() (settings.Config, error) { return <-cfgs, <-errs }
-	signals, out, done := make(chan os.Signal, 8), &output{}, make(chan error, 1)
+	signals, out, done := Signals{make(chan os.Signal, 1), make(chan os.Signal, 8)}, &output{}, make(chan error, 1)
 	sheet := silverpath.Class{Name: "oddaja", Aim: 10 * time.Second, Deadline: 30 * time.Second, Worth: 1,
 		Effect: silverpath.Keyed, KeyWindow: 20 * time.Second}
 	cfg := config(vm)
@@ -206,7 +206,7 @@
 	next.Server.Classes[1].Name = "oddaja-next"
 	cfgs <- next
 	errs <- nil
-	signals <- syscall.SIGHUP
+	signals.Others <- syscall.SIGHUP
 	out.await(t, "reload: settings: taken up, classes krog-next, oddaja-next")
 	expect("the new class", ask("krog-next", "", "b"), "", "B")
 	expect("the dropped class", ask("krog", "", "c"), "Full", "")
@@ -220,7 +220,7 @@
 	}{{bad, nil}, {settings.Config{}, errors.New("settings.classes[0].deadline: not a number above 0")}} {
 		cfgs <- b.cfg
 		errs <- b.err
-		signals <- syscall.SIGHUP
+		signals.Others <- syscall.SIGHUP
 	}
 	out.await(t, "reload: the old configuration holds: settings.classes[0].deadline: not a number above 0")
 	expect("after bad files", ask("krog-next", "", "d"), "", "D")
@@ -228,7 +228,7 @@
 	expect("a request of the dropped class", held, "", "HOLD1")
 	expect("a sheet of the dropped class", sent, "", "HOLD2")
 	expect("its try under the new name", again, "", "HOLD2")
-	signals <- syscall.SIGTERM
+	signals.Leave <- syscall.SIGTERM
 	for _, p := range []peer{held, sent, again} {
 		p.Close()
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"net"
@@ -53,6 +54,9 @@
 	// than mostReplaced.
 	replacedGrace = 700 * time.Millisecond
 	mostReplaced  = 3 * time.Second
+	// mostTaken is for how long a start waits for addresses that are taken, so that it is ready within 10 s or says why not.
+	mostTaken  = 8 * time.Second
+	takenRetry = 20 * time.Millisecond
 )
 
 // Service is one running service.
@@ -80,6 +84,8 @@
 	worker    *standin.Interpreter // nil but in a start without a configuration
 	reporter  *announce.Reporter   // reports nowhere while its address is empty
 	lead      time.Duration        // from the notice to leave until peers are asked to leave too
+	tries     time.Time            // until then an address that is taken is tried again
+	leave     <-chan struct{}      // the notice to leave, while the service opens; nil: none can come
 }
 
 // share is a listener's part of the descriptors.
@@ -95,8 +101,12 @@
 
 // New builds a service in its role and opens its addresses. What a role consists of stands in a file of its own: a
 // server in server.go, a router in router.go. What all have in common are the steps here, in their order.
-func New(cfg settings.Config, l *log.Logger) (*Service, error) {
-	s := &Service{cfg: cfg, log: l, stats: &stats.Counters{}, lead: lead(cfg)}
+func New(cfg settings.Config, l *log.Logger) (*Service, error) { return open(cfg, l, 0, nil) }
+
+// open is New with patience: an address that is taken, as by the process before this one, which has not ended yet, is tried
+// again for so long, or until the notice to leave.
+func open(cfg settings.Config, l *log.Logger, patience time.Duration, leave <-chan struct{}) (*Service, error) {
+	s := &Service{cfg: cfg, log: l, stats: &stats.Counters{}, lead: lead(cfg), tries: time.Now().Add(patience), leave: leave}
 	build := s.asServer
 	if cfg.Edge.Fleet != nil {
 		build = s.asRouter
@@ -169,7 +179,10 @@
 	if s.pair != nil {
 		control = front.ReusePort
 	}
-	s.agent, err = snmp.Listen(s.cfg.SNMP.Listen, s.cfg.SNMP.Community, s.cfg.Name, s.core, s.log, s.stats, control)
+	err = s.whileTaken(func() (err error) {
+		s.agent, err = snmp.Listen(s.cfg.SNMP.Listen, s.cfg.SNMP.Community, s.cfg.Name, s.core, s.log, s.stats, control)
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("snmp.listen: %w", err)
 	}
@@ -181,7 +194,10 @@
 	if s.cfg.Mgmt == "" {
 		return nil
 	}
-	s.mgmt, err = mgmt.Listen(s.cfg.Mgmt, mgmt.Places(s.cfg.Sockets), s.core, s.log, s.stats)
+	err = s.whileTaken(func() (err error) {
+		s.mgmt, err = mgmt.Listen(s.cfg.Mgmt, mgmt.Places(s.cfg.Sockets), s.core, s.log, s.stats)
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("mgmt: %w", err)
 	}
@@ -209,15 +225,17 @@
 
 func (s *Service) listen(field, name, addr string, most int, handle front.Handler) error {
 	var ln *front.Listener
-	var err error
-	if s.pair == nil {
-		ln, err = front.Listen(name, addr, most, s.core.IdleAfter, handle, s.log, s.stats)
-	} else {
+	err := s.whileTaken(func() (err error) {
+		if s.pair == nil {
+			ln, err = front.Listen(name, addr, most, s.core.IdleAfter, handle, s.log, s.stats)
+			return err
+		}
 		var open net.Listener
 		if open, err = front.Shared(addr); err == nil {
 			ln = front.New(name, open, most, s.core.IdleAfter, handle, s.log, s.stats)
 		}
-	}
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("%s: %w", field, err)
 	}
@@ -225,6 +243,27 @@
 	return nil
 }
 
+// errLeft ends a start that was told to leave.
+var errLeft = errors.New("told to leave before the service was open")
+
+// whileTaken opens an address, again and again while it is taken and there is time.
+func (s *Service) whileTaken(open func() error) error {
+	for said := false; ; said = true {
+		err := open()
+		if !errors.Is(err, syscall.EADDRINUSE) || !time.Now().Before(s.tries) {
+			return err
+		}
+		if !said {
+			events.Say(s.log, "listening.taken", time.Until(s.tries).Round(time.Second), err)
+		}
+		select {
+		case <-s.leave:
+			return errLeft
+		case <-time.After(takenRetry):
+		}
+	}
+}
+
 func (s *Service) add(ln *front.Listener, most int) {
 	if r := s.cfg.Edge.Reserve; r != nil {
 		ln.Reserve(*r)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -260,11 +260,11 @@
 	cfgs := make(chan settings.Config, 8)
 	errs := make(chan error, 8)
 	load := func() (settings.Config, error) { return <-cfgs, <-errs }
-	signals, out, done := make(chan os.Signal, 8), &output{}, make(chan error, 1)
+	signals, out, done := Signals{make(chan os.Signal, 1), make(chan os.Signal, 8)}, &output{}, make(chan error, 1)
 	reload := func(c settings.Config, err error) {
 		cfgs <- c
 		errs <- err
-		signals <- syscall.SIGHUP
+		signals.Others <- syscall.SIGHUP
 	}
 	cfg := config(vm)
 	cfg.Stop = 6 * time.Second
@@ -317,7 +317,7 @@
 	a.Write(call(4, "quick3"))
 	expect(4, "QUICK3")
 
-	signals <- syscall.SIGTERM
+	signals.Leave <- syscall.SIGTERM
 	out.await(t, "phase draining")
 	reload(cfg, nil)
 	release()
