--- /dev/null
+++ b/cmd/silverpath/known_red_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+// CI passes over just the tests that KNOWN-RED.txt names, at most three, each with its cause and issue, and each there.
+func TestKnownRed(t *testing.T) {
+	names := write(t, "names", "TestOne\nTestTwo\nTestThree\nTestFour\nTestOneMore\n")
+	for text, want := range map[string]string{
+		"":                            "",
+		"# nothing\n\n":               "",
+		"TestOne | late | issue 24\n": "^(TestOne)$",
+		"TestOne | late, by a pause | issue 24\n# second\nTestTwo | x | issue 5":                                          "^(TestOne|TestTwo)$",
+		"TestOne | late | issue 24\nTestTwo | late | issue 24\nTestThree | late | issue 24\nTestFour | late | issue 24\n": "error: over three tests",
+		"TestOne | late\n":                       "error: not 'TestName",
+		"TestOne |  | issue 24\n":                "error: not 'TestName",
+		"TestOne | late | soon\n":                "error: not 'TestName",
+		"TestOne/part | late | issue 24\n":       "error: not 'TestName",
+		"Test.* | late | issue 24\n":             "error: not 'TestName",
+		"TestOn | late | issue 24\n":             "error: no test has the name TestOn",
+		"TestFive | late | issue 24\n":           "error: no test has the name TestFive",
+		" TestOne | late | issue 24\n":           "error: not 'TestName",
+		"TestOne | late | issue 24 | and more\n": "error: not 'TestName",
+	} {
+		out, err := exec.Command("../../.ci/known-red", write(t, "KNOWN-RED.txt", text), names).CombinedOutput()
+		got := strings.TrimSpace(string(out))
+		if problem, bad := strings.CutPrefix(want, "error: "); bad {
+			if err == nil || !strings.Contains(got, problem) {
+				t.Errorf("%q: %q, %v; want an error with %q", text, got, err, problem)
+			}
+		} else if err != nil || got != want {
+			t.Errorf("%q: %q, %v; want %q", text, got, err, want)
+		}
+	}
+	if out, err := exec.Command("../../.ci/known-red", "/nowhere", names).CombinedOutput(); err != nil || len(out) > 0 {
+		t.Errorf("no file: %q, %v", out, err)
+	}
+}
