Guards of the store and of signs of life are taken out by what tests pass in

store.Unpromised, life.Ungated and store.InitFormat were switches in the program for tests alone. service.Parts is what whoever starts the service may put round its parts (the keeper that the core asks, whether signs last); the program puts nothing there, the tests' program a keeper that promises late and signs that always last. A store of another format is made by the test itself.

--- a/cmd/silverpath/durable_test.go
+++ b/cmd/silverpath/durable_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -16,6 +18,7 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"go.etcd.io/bbolt"
 
 	"silverpath/internal/ask"
 	"silverpath/internal/core"
@@ -27,12 +30,118 @@
 	"silverpath/internal/store"
 )
 
+// unpromised is a store whose promises are told as kept before they are: they are written only with the result.
+type unpromised struct {
+	core.Keeper
+	mu   sync.Mutex
+	seq  uint64
+	late map[uint64]promise
+}
+
+type promise struct {
+	keyed.Record
+	reached, until time.Time
+}
+
+func (u *unpromised) Promise(r *keyed.Record, reached, until time.Time, left time.Duration, done func(error)) keyed.Verdict {
+	v := u.Begins(left)
+	if v.Do != keyed.Begin {
+		return v
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.seq++
+	r.Seq = 1<<40 + u.seq
+	u.late[r.Seq] = promise{*r, reached, until}
+	go done(nil)
+	return v
+}
+
+func (u *unpromised) Result(r *keyed.Record, reached, until time.Time, done func(error)) {
+	u.mu.Lock()
+	p, late := u.late[r.Seq]
+	delete(u.late, r.Seq)
+	u.mu.Unlock()
+	if !late {
+		u.Keeper.Result(r, reached, until, done)
+		return
+	}
+	whole := *r
+	go func() { // the core holds its lock meanwhile
+		p.Seq = 0
+		kept := p.Record
+		if v := u.Keeper.Promise(&kept, p.reached, p.until, time.Hour, func(err error) {
+			if err != nil {
+				done(err)
+				return
+			}
+			whole.Seq = kept.Seq
+			u.Keeper.Result(&whole, reached, until, done)
+		}); v.Do != keyed.Begin {
+			done(errors.New(v.Why))
+		}
+	}()
+}
+
+func (u *unpromised) Failed(seq uint64)   { u.forget(seq, u.Keeper.Failed) }
+func (u *unpromised) Withdraw(seq uint64) { u.forget(seq, u.Keeper.Withdraw) }
+
+func (u *unpromised) forget(seq uint64, instead func(uint64)) {
+	u.mu.Lock()
+	_, late := u.late[seq]
+	delete(u.late, seq)
+	u.mu.Unlock()
+	if !late && seq < 1<<40 {
+		instead(seq)
+	}
+}
+
+// otherFormat makes a store as a build of another format would.
+func otherFormat(t *testing.T, dir, name string, format int) {
+	t.Helper()
+	if err := store.Init(dir, name); err != nil {
+		t.Fatal(err)
+	}
+	db, err := bbolt.Open(filepath.Join(dir, store.FileName), 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := 0
+	err = db.Update(func(tx *bbolt.Tx) error {
+		return tx.ForEach(func(_ []byte, b *bbolt.Bucket) error {
+			heads := map[string][]byte{}
+			b.ForEach(func(k, v []byte) error {
+				var head map[string]any
+				if json.Unmarshal(v, &head) == nil && head["format"] != nil {
+					head["format"] = format
+					heads[string(k)], _ = json.Marshal(head)
+				}
+				return nil
+			})
+			for k, v := range heads {
+				changed++
+				if err := b.Put([]byte(k), v); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	})
+	if err = errors.Join(err, db.Close()); err != nil || changed != 1 {
+		t.Fatalf("%d heads changed: %v", changed, err)
+	}
+}
+
 // storeProgram gives this test's program a disk that fails as a file says, for as long as the file is there: BOUNDARY ACTION, where
 // the boundary may be * and the action is a time to wait, kill:N for the end at the Nth time, or the text of an error. And it has
 // the machine be switched on when the environment says, as NAME AGO MACHINE: another time for each name.
 func storeProgram() {
-	store.Unpromised = os.Getenv("SILVERPATH_UNPROMISED") != ""
-	life.Ungated = os.Getenv("SILVERPATH_UNSIGNED") != ""
+	if os.Getenv("SILVERPATH_UNPROMISED") != "" {
+		parts.Keeper = func(k core.Keeper) core.Keeper { return &unpromised{Keeper: k, late: map[uint64]promise{}} }
+	}
+	if os.Getenv("SILVERPATH_UNSIGNED") != "" {
+		parts.Signs = func(func() bool) func() bool { return func() bool { return true } }
+	}
 	if name, ago, ok := strings.Cut(os.Getenv("SILVERPATH_BOOT"), " "); ok {
 		began := time.Now()
 		ago, machine, _ := strings.Cut(ago, " ")
@@ -438,9 +547,7 @@
 		t.Fatal(err)
 	}
 	future := t.TempDir()
-	if err := store.InitFormat(future, "n1", 2); err != nil {
-		t.Fatal(err)
-	}
+	otherFormat(t, future, "n1", 2)
 	for dir, want := range map[string]string{
 		d.dir: "in use by another process", other: `it is of the service "somebody", not of "n1"`,
 		future: "format 2, this build knows 1", none: "not a directory",
--- a/cmd/silverpath/main.go
+++ b/cmd/silverpath/main.go
@@ -16,6 +16,9 @@
 	"silverpath/internal/settings"
 )
 
+// parts are put round the service's own; the program has none.
+var parts service.Parts
+
 func main() {
 	if err := root().Execute(); err != nil {
 		fmt.Fprintf(os.Stderr, "silverpath: %v\n", err)
@@ -62,7 +65,7 @@
 			Use:   "serve",
 			Short: "Run the service until SIGTERM; SIGHUP reloads the configuration, SIGUSR1 prints the counters",
 			RunE: func(*cobra.Command, []string) error {
-				return service.Main(load, service.Listen(), os.Stderr)
+				return service.Main(load, service.Listen(), os.Stderr, parts)
 			},
 		}),
 		withConfig(&cobra.Command{
@@ -89,7 +92,7 @@
 				if err != nil {
 					return err
 				}
-				return service.Main(load, signals, os.Stderr)
+				return service.Main(load, signals, os.Stderr, parts)
 			},
 		}),
 		askCommand(), statusCommand(), cellsCommand(), quorumCommand(), dutyCommand(), fleetCommand(), rulesCommand(), storeCommand(), recoverCommand(),
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -37,7 +37,6 @@
 	dark       time.Duration
 	by         recovery.Evidence
 	found      keyed.Clock // when it was found
-	ungated    bool
 
 	mu   sync.Mutex
 	life *recovery.Life
@@ -55,12 +54,9 @@
 	return crc32.ChecksumIEEE(text)
 }
 
-// Ungated has what has an effect begin without signs that last, in test programs only: the harm must then be found.
-var Ungated bool
-
 // Open reads the sign of the process before this one. What can't be read proves nothing, and is set aside.
 func Open(path, name string, valid time.Duration, l *log.Logger, s *stats.Counters) (*Keeper, error) {
-	k := &Keeper{path: path, name: name, valid: valid, log: l, stats: s, found: store.Now(), ungated: Ungated,
+	k := &Keeper{path: path, name: name, valid: valid, log: l, stats: s, found: store.Now(),
 		life: recovery.NewLife(recovery.Terms{Every: valid / part, Valid: valid})}
 	last, err := Read(path)
 	if err != nil {
@@ -165,7 +161,7 @@
 func (k *Keeper) May() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.life.May(store.Now().Now) || k.ungated
+	return k.life.May(store.Now().Now)
 }
 
 // Dark is for how long, by now and at the least, no earlier process of the service has begun anything, and by what that is known.
--- a/internal/service/main.go
+++ b/internal/service/main.go
@@ -29,7 +29,7 @@
 
 // Main runs a service in this process: its limits, its signals and its last words. Load reads the configuration
 // at the start and again at every SIGHUP. A notice to leave holds at every moment, also before the service is open.
-func Main(load func() (settings.Config, error), signals Signals, out io.Writer) error {
+func Main(load func() (settings.Config, error), signals Signals, out io.Writer, parts Parts) error {
 	cfg, err := load()
 	if err != nil {
 		return err
@@ -45,7 +45,7 @@
 		events.Say(l, "leaving", <-signals.Leave)
 		close(leave)
 	}()
-	s, err := open(cfg, l, mostTaken, leave)
+	s, err := open(cfg, l, parts, mostTaken, leave)
 	if errors.Is(err, errLeft) {
 		events.Say(l, "exit")
 		return nil
--- a/internal/service/operate_test.go
+++ b/internal/service/operate_test.go
@@ -176,7 +176,7 @@
 	cfg.Stop = 3 * time.Second
 	cfgs <- cfg
 	errs <- nil
-	go func() { done <- Main(load, signals, out) }()
+	go func() { done <- Main(load, signals, out, Parts{}) }()
 	addr, err := net.ResolveTCPAddr("tcp", out.await(t, "msgpack: listening on "))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/service/recovery.go
+++ b/internal/service/recovery.go
@@ -36,11 +36,15 @@
 	dark, _ := s.life.Dark()
 	s.stats.Set(uint64(dark.Milliseconds()), "life", "dark_ms")
 	s.core.RanUntil(time.Now().Add(-dark).UnixMilli())
+	may := s.life.May
+	if wrap := s.parts.Signs; wrap != nil {
+		may = wrap(may)
+	}
 	s.core.Gate(func(time.Duration) keyed.Verdict {
 		switch {
 		case s.store == nil && s.blind() > 0:
 			return keyed.Verdict{Do: keyed.Fail, Why: keyed.WhyBlind}
-		case !s.life.May():
+		case !may():
 			return keyed.Verdict{Do: keyed.Refuse, Why: "no_sign_of_life", Wait: set.Valid / 2}
 		}
 		return keyed.Verdict{}
--- a/internal/service/server.go
+++ b/internal/service/server.go
@@ -100,7 +100,11 @@
 	if err != nil {
 		return fmt.Errorf("store.dir: %w", err)
 	}
-	s.core.Keep(s.store)
+	if wrap := s.parts.Keeper; wrap != nil {
+		s.core.Keep(wrap(s.store))
+	} else {
+		s.core.Keep(s.store)
+	}
 	s.core.Tells("store", s.store.Status)
 	s.keep = append(s.keep, s.store.Keep)
 	return nil
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -59,9 +59,16 @@
 	takenRetry = 20 * time.Millisecond
 )
 
+// Parts are put round parts of the service by whoever starts it. What is nil stays as it is.
+type Parts struct {
+	Keeper func(core.Keeper) core.Keeper     // round the store, as the core asks it
+	Signs  func(may func() bool) func() bool // round whether signs of life last
+}
+
 // Service is one running service.
 type Service struct {
 	cfg       settings.Config
+	parts     Parts
 	log       *log.Logger
 	stats     *stats.Counters
 	core      *core.Core
@@ -101,12 +108,12 @@
 
 // New builds a service in its role and opens its addresses. What a role consists of stands in a file of its own: a
 // server in server.go, a router in router.go. What all have in common are the steps here, in their order.
-func New(cfg settings.Config, l *log.Logger) (*Service, error) { return open(cfg, l, 0, nil) }
+func New(cfg settings.Config, l *log.Logger) (*Service, error) { return open(cfg, l, Parts{}, 0, nil) }
 
 // open is New with patience: an address that is taken, as by the process before this one, which has not ended yet, is tried
 // again for so long, or until the notice to leave.
-func open(cfg settings.Config, l *log.Logger, patience time.Duration, leave <-chan struct{}) (*Service, error) {
-	s := &Service{cfg: cfg, log: l, stats: &stats.Counters{}, lead: lead(cfg), tries: time.Now().Add(patience), leave: leave}
+func open(cfg settings.Config, l *log.Logger, parts Parts, patience time.Duration, leave <-chan struct{}) (*Service, error) {
+	s := &Service{cfg: cfg, parts: parts, log: l, stats: &stats.Counters{}, lead: lead(cfg), tries: time.Now().Add(patience), leave: leave}
 	build := s.asServer
 	if cfg.Edge.Fleet != nil {
 		build = s.asRouter
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -270,7 +270,7 @@
 	cfg.Stop = 6 * time.Second
 	cfgs <- cfg
 	errs <- nil
-	go func() { done <- Main(load, signals, out) }()
+	go func() { done <- Main(load, signals, out, Parts{}) }()
 	addr, err := net.ResolveTCPAddr("tcp", out.await(t, "msgpack: listening on "))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/service/start_test.go
+++ b/internal/service/start_test.go
@@ -23,7 +23,7 @@
 		runtime.GOMAXPROCS(procs)
 	})
 	signals, out, done := Signals{make(chan os.Signal, 1), make(chan os.Signal, 8)}, &output{}, make(chan error, 1)
-	go func() { done <- Main(load, signals, out) }()
+	go func() { done <- Main(load, signals, out, Parts{}) }()
 	return signals, out, done
 }
 
--- a/internal/store/offline.go
+++ b/internal/store/offline.go
@@ -8,8 +8,6 @@
 	"path/filepath"
 	"time"
 
-	"go.etcd.io/bbolt"
-
 	"silverpath/internal/keyed"
 )
 
@@ -213,15 +211,3 @@
 	})
 	return records, err
 }
-
-// InitFormat makes a store as a build of another format would, for tests.
-func InitFormat(dir, name string, version int) error {
-	if err := Init(dir, name); err != nil {
-		return err
-	}
-	db, err := openDB(filepath.Join(dir, FileName), false)
-	if err != nil {
-		return err
-	}
-	return errors.Join(db.Update(func(tx *bbolt.Tx) error { return putHead(tx, header{Format: version, Name: name}) }), db.Close())
-}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -52,9 +52,6 @@
 	Stats  *stats.Counters
 }
 
-// Unpromised has runs begin without a promise, in test programs only: the harm that the promise keeps away must then be found.
-var Unpromised bool
-
 // Store is an open store.
 type Store struct {
 	cfg    Config
@@ -176,10 +173,6 @@
 		return v
 	}
 	seq := r.Seq
-	if Unpromised {
-		go done(nil)
-		return v
-	}
 	s.put(op{seq: seq, value: encode(r), done: func(err error) {
 		if err == nil {
 			s.mu.Lock()
