A request that crosses the end of a pooled connection is known not to have run

Read for the crossings of a router and its servers: a pooled connection that its server gives up in the moment in which a sheet goes out on it ended without an answer, which proves nothing, so the sheet failed ('broken') although it had not run. Ruled out as proof: the end itself, since a server that is killed after a run ends its connections the same way.

In a cell a server now says lastTaken with the number of the last message it took, after it has decided to take no more (front.giveUp, then msgpackrpc.lastTaken); the router sends what has a higher number again on a new connection. Not said on the platform.

Members' connections rest again once a word is seen to, and end by a lingering close. New rules for every front and role: the window's last moment, and first tries that failed, left or run on.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -236,6 +236,7 @@
 		if _, reply, err = c.Send(func(id uint64) []byte { return msgpackrpc.AppendProbe(nil, id, r.introduces(r.cells.Load())...) }); err == nil {
 			select {
 			case a, good = <-reply:
+				good = good && !a.Untaken()
 			case <-ctx.Done():
 			}
 		}
@@ -716,6 +717,10 @@
 			if !ok {
 				return ending{outcome: routing.Broken}, nil
 			}
+			if a.Untaken() { // it crossed the end of a connection that had rested: proven that it never ran
+				crossed++
+				continue
+			}
 			return end(a), a.Fields
 		case <-ctx.Done():
 			c.GiveUp(id)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,7 @@
 	owner *Listener
 	conn  net.Conn
 	leave func()        // asks the peer to leave
+	bye   func()        // tells it what was taken, before the end
 	cut   chan struct{} // closed as the connection gives way to another
 
 	// Under the owner's lock:
@@ -81,11 +82,14 @@
 	if ok {
 		s.until = time.Now().Add(l.linger)
 	}
-	asked, until := s.asked > 0, s.until
+	asked, until, bye := s.asked > 0, s.until, s.bye
 	l.mu.Unlock()
 	if !ok {
 		return false
 	}
+	if asked && bye != nil {
+		bye()
+	}
 	if asked && linger.Half(s.conn) {
 		s.conn.SetReadDeadline(until)
 	} else {
@@ -174,6 +178,13 @@
 	}
 }
 
+// OnEnd sets what is said last where the connection's place is given up. It must not wait for a slow peer.
+func (s *Slot) OnEnd(bye func()) {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	s.bye = bye
+}
+
 // Open notes how many requests are open on the connection.
 func (s *Slot) Open(n int) {
 	s.owner.mu.Lock()
--- a/internal/msgpackrpc/client.go
+++ b/internal/msgpackrpc/client.go
@@ -10,13 +10,16 @@
 // Reply is what a balancer reads: an answer, the answer to a probe, or a notification.
 type Reply struct {
 	ID           uint64
-	Notification string
+	Notification string // empty: an answer
 	Error        string // empty: served, or a probe's answer
 	Body         []byte
 	Good         bool // of a probe
 	Fields       map[string]string
 }
 
+// Untaken reports whether this stands for the answer to a request that was never taken, as its connection was ended before.
+func (a Reply) Untaken() bool { return a.Notification == lastTaken }
+
 // AppendRequest appends a request as a balancer sends it, with its fields given as name and value in turn.
 func AppendRequest(b []byte, id uint64, class string, body []byte, fields ...string) []byte {
 	b = appendUint(appendUint(appendArray(b, 4), uint64(request)), id)
@@ -57,10 +60,19 @@
 	case err != nil:
 		return a, err
 	case kind(k) == notification && n == 3:
-		if a.Notification, err = d.text("method"); err == nil {
-			err = d.skip(0)
+		if a.Notification, err = d.text("method"); err != nil {
+			return a, err
 		}
-		return a, err
+		if a.Notification == lastTaken {
+			if n, err = d.array(); err == nil && n != 1 {
+				err = malformed("%d parameters of %q", n, lastTaken)
+			}
+			if err == nil {
+				a.ID, err = d.uint()
+			}
+			return a, err
+		}
+		return a, d.skip(0)
 	case kind(k) != response || n != 4:
 		return a, malformed("%d elements of type %d", n, k)
 	}
--- a/internal/msgpackrpc/close_test.go
+++ b/internal/msgpackrpc/close_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -190,3 +191,29 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// The buffer of an answer that is being written belongs to it until it is: what others are told meanwhile comes from others.
+func TestBufferOfAnAnswerBeingWritten(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // a pool has buffers for each
+	synctest.Test(t, func(t *testing.T) {
+		p := pipes.Listen()
+		w, l, _ := serve(t, p, 10)
+		var conns []net.Conn
+		for id, body := range []string{"first", "other", "third"} {
+			conn := p.Dial()
+			conns = append(conns, conn)
+			go conn.Write(ask(uint64(id + 1)))
+			w.Ended(<-w.runs, silverpath.OK, 0, []byte(body))
+			synctest.Wait() // it is being written: a pipe takes it only as it is read
+		}
+		for id, want := range []string{"first", "other", "third"} {
+			if a, err := ReadReply(bufio.NewReader(conns[id])); err != nil || a.ID != uint64(id+1) || string(a.Body) != want {
+				t.Errorf("connection %d is told %+v, %v", id+1, a, err)
+			}
+			conns[id].Close()
+		}
+		l.Close()
+		w.Stop()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -78,7 +78,13 @@
 			return
 		}
 		if a.Notification != "" {
-			c.called = c.called || a.Notification == lastCall
+			c.called = c.called || a.Notification == lastCall || a.Untaken()
+			for id, reply := range c.open {
+				if a.Untaken() && id > a.ID {
+					delete(c.open, id)
+					reply <- Reply{ID: id, Notification: lastTaken} // it has room for one
+				}
+			}
 			last := c.called && len(c.open) == 0
 			c.mu.Unlock()
 			if last {
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -31,11 +31,15 @@
 	probe    = "probe"
 	giveUp   = "giveUp"
 	lastCall = "lastCall"
+	// lastTaken is said to routers before a connection at rest is ended: the number of the last message on it that was taken.
+	// What crosses the end with a higher one was not and never will be, so that it may be sent again, sheets too.
+	lastTaken = "lastTaken"
 	full     = "Full"
 	failed   = "Error"
 
 	mostOpen     = 64 // requests on a connection; balancers keep to half of that
 	writeTimeout = 2 * time.Second
+	byeTimeout   = 10 * time.Millisecond // of lastTaken: whoever takes nothing hears nothing
 	mostAhead    = 10 * time.Second // by which a balancer's clock may be ahead
 	longestWait  = time.Hour
 	mostTerm     = time.Hour // of those that a router names
@@ -63,6 +67,7 @@
 	mu     sync.Mutex
 	open   map[uint64]string // request ids by message id
 	unsent int               // answers that are being written
+	last   uint64            // number of the last request taken
 	called bool              // lastCall was sent
 	broken bool
 
@@ -78,6 +83,9 @@
 	r := buf.Reader(conn)
 	defer buf.PutReader(r)
 	_, cell := f.core.Boot()
+	if cell {
+		slot.OnEnd(c.lastTaken)
+	}
 	d := decoder{r: r, status: f.core.TellsStatus(), cell: cell, shut: func(class string) (shut bool) {
 		c.refusal, shut = f.core.Shut(Name, class)
 		return shut
@@ -142,6 +150,9 @@
 		c.probed(m)
 		return nil
 	}
+	c.mu.Lock()
+	c.last = max(c.last, m.id)
+	c.mu.Unlock()
 	if m.status {
 		c.stats.Inc("status", Name)
 		c.slot.Cheap()
@@ -346,6 +357,19 @@
 	}
 }
 
+// lastTaken tells a router up to which number requests on this connection were taken. None is from now on.
+func (c *client) lastTaken() {
+	c.mu.Lock()
+	last := c.last
+	c.mu.Unlock()
+	if !c.writing.TryLock() {
+		return // something is stuck in it
+	}
+	defer c.writing.Unlock()
+	c.conn.SetWriteDeadline(time.Now().Add(byeTimeout))
+	c.conn.Write(appendUint(appendArray(appendText(appendUint(appendArray(nil, 3), uint64(notification)), lastTaken), 1), last))
+}
+
 // write writes one message. A peer that takes nothing for writeTimeout loses its connection.
 func (c *client) write(message func([]byte) []byte) {
 	b := buf.Get()
--- a/internal/msgpackrpc/words.go
+++ b/internal/msgpackrpc/words.go
@@ -74,8 +74,11 @@
 			break
 		}
 		conn.SetReadDeadline(time.Time{})
-		slot.Asked()
+		if !slot.Asked() {
+			break // its place was given up as this came
+		}
 		if m.kind != request || m.method == probe {
+			slot.Rest()
 			continue // nobody who speaks so belongs here, and no harm is done
 		}
 		mu.Lock()
@@ -94,25 +97,27 @@
 			b := appendVerdict(nil, m.id, v)
 			mu.Lock()
 			defer mu.Unlock()
-			n--
-			slot.Open(n)
 			conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, err := conn.Write(b); err != nil {
 				conn.Close() // the reader ends
 			}
+			n--
+			slot.Open(n)
 		})
+		slot.Rest()
 	}
 	switch {
+	case err == nil, errors.Is(err, os.ErrDeadlineExceeded) && slot.Ended():
 	case err == io.EOF, errors.Is(err, net.ErrClosed):
+		cancel() // whoever asked has left
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		f.stats.Inc("too_slow", f.name)
 	case errors.Is(err, errMalformed):
 		f.stats.Inc("malformed", f.name)
 		slot.Say("front.closed", f.name, conn.RemoteAddr(), err)
 	}
-	conn.Close()
-	cancel()
-	open.Wait()
+	open.Wait() // what was asked before is answered, as long as the other side may read
+	slot.Linger(r)
 }
 
 func appendVerdict(b []byte, id uint64, v Verdict) []byte {
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -397,6 +397,35 @@
 		e.end(e.ran("x", "x")[1], silverpath.OK, "again")
 		e.one(c, core.Served, "again")
 	}},
+	{"the window's last moment still belongs to it, the one past it and its slack does not", func(e *edge) {
+		a := e.send(try{class: "oddaja", key: "k", body: "x"})
+		e.end(e.ran("x")[0], silverpath.OK, "done")
+		e.one(a, core.Served, "done")
+		e.pass(window)
+		e.one(e.send(try{class: "oddaja", key: "k", body: "x"}), core.Served, "done")
+		e.pass(50 * time.Millisecond)
+		e.one(e.send(try{class: "oddaja", key: "k", body: "x"}), core.Served, "done")
+		e.ran("x")
+		e.pass(time.Millisecond)
+		e.send(try{class: "oddaja", key: "k", body: "x"})
+		e.ran("x", "x")
+	}},
+	{"inside the window a first try that failed, was given up or runs on is not run again", func(e *edge) {
+		a := e.send(try{class: "oddaja", key: "fails", body: "x"})
+		e.end(e.ran("x")[0], silverpath.Failed, "")
+		e.one(a, core.Failed, "")
+		b := e.send(try{class: "oddaja", key: "leaves", body: "y"})
+		e.ran("x", "y")
+		b.drop()
+		e.pass(50 * time.Millisecond)
+		e.pass(window - 100*time.Millisecond)
+		e.one(e.send(try{class: "oddaja", key: "fails", body: "x"}), core.Failed, "")
+		c := e.send(try{class: "oddaja", key: "leaves", body: "y"})
+		e.none(c)
+		e.end(e.ran("x", "y")[1], silverpath.OK, "done")
+		e.one(c, core.Served, "done")
+		e.ran("x", "y")
+	}},
 	{"another key, or the same in another class, is another request", func(e *edge) {
 		e.send(try{class: "oddaja", key: "k", body: "x"})
 		e.send(try{class: "oddaja", key: "l", body: "y"})
