--- /dev/null
+++ b/cmd/silverpath/crowd_test.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"silverpath/internal/lab"
+	"silverpath/internal/msgpackrpc"
+	"silverpath/internal/standin"
+	"silverpath/internal/standin/faults"
+)
+
+// Clients that only rest fill a process's descriptors while the announce service is down. What the service needs itself keeps its
+// places: operators are answered, the link to the interpreter is taken up again, reports go out once somebody hears them. Whoever
+// comes with a request is served, and one with an open request is not cut off.
+func TestIdleClientsFillTheDescriptors(t *testing.T) {
+	t.Parallel()
+	const most = 96
+	work, err := standin.Listen(standin.Config{Listen: "127.0.0.1:0", Cores: 8, Shape: standin.Shape{Knee: 8, Speed: 1},
+		Other: standin.Class{Least: 5 * time.Millisecond, Most: 10 * time.Millisecond}, RunFactor: 1, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer work.Close()
+	way, err := faults.Listen(work.Addr(), false, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer way.Close()
+	heard, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	announce := heard.LocalAddr().String()
+	heard.Close() // the announce service is down
+	site, err := os.ReadFile(siteFile(t, "n1", way.Addr()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, ops := freeAddr(t), freeAddr(t)
+	text := strings.NewReplacer(`"sockets":256`, fmt.Sprintf(`"sockets":%d`, most), `"listen":"127.0.0.1:0"`, `"listen":"`+addr+`","announce":"`+announce+`"`).Replace(string(site))
+	p := begin(t, []string{"serve", "--config", write(t, "n1.json", text)}, "LB_MGMT="+ops)
+	if err := unix.Prlimit(p.Pid(), unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: most, Max: most}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Await(20*time.Second, 0, "phase serving"); err != nil {
+		t.Fatal(err)
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(30 * time.Second))
+		return c
+	}
+	ask := func(c net.Conn, id int, wait time.Duration) {
+		c.Write(msgpackrpc.AppendRequest(nil, 1, "oddaja", []byte(strconv.Itoa(id)), "i", fmt.Sprintf("%016x", id), "k", strconv.Itoa(id),
+			"s", strconv.FormatInt(time.Now().UnixMilli(), 10), "d", strconv.FormatInt(wait.Milliseconds(), 10), "m", "1"))
+	}
+	served := func(c net.Conn) error {
+		a, err := msgpackrpc.ReadReply(bufio.NewReader(c))
+		if err == nil && a.Error != "" {
+			err = fmt.Errorf("told %s", a.Error)
+		}
+		return err
+	}
+	// A request that stays open: the link is cut, so that its run goes on unheard.
+	open := dial()
+	way.Cut(true)
+	ask(open, 1, 20*time.Second)
+	for i := range 3 * most { // clients that asked once and rest, and some that never ask
+		c := dial()
+		if i%2 == 0 {
+			c.Write(msgpackrpc.AppendProbe(nil, 1))
+			if _, err := msgpackrpc.ReadReply(bufio.NewReader(c)); err != nil {
+				t.Fatalf("client %d: %v", i, err)
+			}
+		}
+	}
+	if code, why := lab.Call(ops, "GET /api/ready"); code != 200 {
+		t.Errorf("an operator is told %d %q", code, why)
+	}
+	from := p.Lines()
+	way.Cut(false)
+	if _, err := p.Await(20*time.Second, from, "interpreter link live again"); err != nil {
+		t.Error(err)
+	}
+	if err := served(open); err != nil {
+		t.Errorf("the one with an open request: %v", err)
+	}
+	for id := range 5 {
+		c := dial()
+		ask(c, 100+id, 20*time.Second)
+		if err := served(c); err != nil {
+			t.Errorf("a newcomer with a request: %v", err)
+		}
+	}
+	if heard, err = net.ListenPacket("udp", announce); err != nil {
+		t.Fatal(err)
+	}
+	defer heard.Close()
+	heard.SetReadDeadline(time.Now().Add(20 * time.Second))
+	b := make([]byte, 100)
+	if n, _, err := heard.ReadFrom(b); err != nil || string(b[:n]) != "announce n1 true" {
+		t.Errorf("reported %q, %v", b[:n], err)
+	}
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Pid()))
+	if err != nil || len(list) > most {
+		t.Errorf("%d descriptors, %v", len(list), err)
+	}
+	if log := p.Log(); strings.Contains(log, "accepting:") {
+		t.Errorf("out of descriptors:\n%s", log)
+	}
+}
