The slow start holds for all routers together: a cold server shares out what it takes

With one candidate, or a sheet's home, the weight did nothing; and many that were told at once that there is room all went (check in Home and Pick, count in tryIn).

internal/slowstart decides: the server, which alone hears of all, gives each router a whole part for a term, never more together than it takes and than others still hold; the settings' callers are assumed until each had a term to be heard. A router claims nothing of a server that it has only heard of, and retries and second copies count, where the try goes out (routing.Take). Off on the platform: said to routers alone.

TestBoots had a sheet go to a server whose start was only heard of; it now checks that none does, and that it does once the server says that it is warm.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -132,6 +132,7 @@
 	bar      atomic.Pointer[func() string] // why no sheet begins at all; nil: nobody is asked
 	waits    atomic.Bool                   // the runner is up, and another process's runs are not known yet
 
+	starting   slowStart // how what it takes while cold is shared out
 	tellStatus bool
 	cell       bool
 	blind      bool                     // hands requests on: another router may have handed on a try of the same sheet
@@ -239,6 +240,7 @@
 
 // Started is told when that which does the work started, and whether it was cold then.
 func (c *Core) Started(cold bool, ago time.Duration) {
+	c.starting.begin(cold, time.Now().Add(-ago), c.set.Load().Callers)
 	c.choose(func(m *silverpath.Shedder, now time.Duration) { m.Started(now, ago, cold) })
 }
 
--- /dev/null
+++ b/internal/core/slowstart.go
@@ -0,0 +1,48 @@
+package core
+
+import (
+	"sync"
+	"time"
+
+	"silverpath/internal/slowstart"
+)
+
+// slowStart is the server's own part in its slow start. It has a lock of its own, since health checks wait for no decision
+// of the module.
+type slowStart struct {
+	mu      sync.Mutex
+	cold    bool
+	started time.Time
+	shares  *slowstart.Server
+}
+
+// sameStart is by how much two links may tell the start of one interpreter differently.
+const sameStart = time.Second
+
+func (s *slowStart) begin(cold bool, started time.Time, callers int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shares != nil && started.Sub(s.started).Abs() < sameStart {
+		return // a further link to the same interpreter: what was told holds
+	}
+	s.cold, s.started, s.shares = cold, started, slowstart.NewServer(time.Since(started), callers)
+}
+
+// SlowStart is how many requests a router that asks may have out here for a term from its asking, and whether there is such a
+// bound. Flying are those that it has out.
+func (c *Core) SlowStart(who string, flying int, term time.Duration) (part int, cold bool) {
+	s := &c.starting
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.cold || !c.cell {
+		return 0, false
+	}
+	set := *c.set.Load()
+	set.Cold = true
+	up := time.Since(s.started)
+	whole, cold := slowstart.Whole(set, up)
+	if s.cold = cold; !cold {
+		return 0, false
+	}
+	return s.shares.Part(up, who, flying, whole, term), true
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -122,8 +122,12 @@
 	weights := map[string]float64{}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var unheard []string
 	for _, s := range m.Servers {
 		weights[s.Name] = s.Weight
+		if r.peers[s.Name] == nil {
+			unheard = append(unheard, s.Name)
+		}
 		if p := r.peers[s.Name]; p == nil || p.addr != s.Addr {
 			p.close()
 			r.peers[s.Name] = &peer{name: s.Name, addr: s.Addr, room: r.room, dial: r.cfg.Dial}
@@ -136,6 +140,9 @@
 		}
 	}
 	r.table.Members(r.clock(), weights)
+	for _, name := range unheard {
+		r.table.Unheard(name)
+	}
 	v := &view{Map: m, read: read}
 	if was := r.cells.Load(); was != nil && was.Map == m {
 		v.id, v.named = was.id, was.named
@@ -227,13 +234,19 @@
 func (r *Runner) probe(ctx context.Context, s cells.Server) {
 	ctx, cancel := context.WithTimeout(ctx, probeWithin)
 	defer cancel()
+	r.mu.Lock()
+	asked, flying := r.clock(), r.table.Flying(s.Name)
+	r.mu.Unlock()
+	every := r.probeEvery()
 	c, err := r.cfg.Dial(ctx, s.Addr)
 	good := false
 	var a msgpackrpc.Reply
 	if err == nil {
 		defer c.Close()
 		var reply <-chan msgpackrpc.Reply
-		if _, reply, err = c.Send(func(id uint64) []byte { return msgpackrpc.AppendProbe(nil, id, r.introduces(r.cells.Load())...) }); err == nil {
+		if _, reply, err = c.Send(func(id uint64) []byte {
+			return msgpackrpc.AppendProbe(nil, id, append(r.introduces(r.cells.Load()), "fl", strconv.Itoa(flying))...)
+		}); err == nil {
 			select {
 			case a, good = <-reply:
 				good = good && !a.Untaken()
@@ -245,6 +258,8 @@
 	defer r.mu.Unlock()
 	if good { // one that says that it is unwell is there all the same: it drains, and knows its sheets
 		r.reached(s.Name, a.Fields)
+		part, _ := strconv.Atoi(a.Fields["c"])
+		r.table.Probed(asked, s.Name, a.Fields["c"] != "", part, msgpackrpc.SlowStartTerms*every)
 	} else {
 		r.table.Missed(r.clock(), s.Name)
 	}
@@ -579,8 +594,12 @@
 func (r *Runner) tryIn(ctx context.Context, q core.Request, name string, known bool, due time.Time) ending {
 	r.mu.Lock()
 	p := r.peers[name]
-	r.table.Sent(name)
+	room := r.table.Take(r.clock(), name)
 	r.mu.Unlock()
+	if !room {
+		r.stats.Inc("fleet", "refused", "slow_start")
+		return ending{outcome: routing.Refused, away: r.events.Advice()}
+	}
 	began := time.Now()
 	e, fields := ending{outcome: routing.Refusing}, map[string]string(nil)
 	if p != nil {
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -34,13 +34,16 @@
 	// lastTaken is said to routers before a connection at rest is ended: the number of the last message on it that was taken.
 	// What crosses the end with a higher one was not and never will be, so that it may be sent again, sheets too.
 	lastTaken = "lastTaken"
-	full     = "Full"
-	failed   = "Error"
+	full      = "Full"
+	failed    = "Error"
+
+	// SlowStartTerms is for how many of its probes' intervals a router goes by its part of a server that is cold.
+	SlowStartTerms = 3
 
 	mostOpen     = 64 // requests on a connection; balancers keep to half of that
 	writeTimeout = 2 * time.Second
 	byeTimeout   = 10 * time.Millisecond // of lastTaken: whoever takes nothing hears nothing
-	mostAhead    = 10 * time.Second // by which a balancer's clock may be ahead
+	mostAhead    = 10 * time.Second      // by which a balancer's clock may be ahead
 	longestWait  = time.Hour
 	mostTerm     = time.Hour // of those that a router names
 )
@@ -215,6 +218,10 @@
 		}
 		c.core.Heard(id, m.fields["gn"], rulebook.Terms{Lease: ms("gl"), Skew: ms("gs"), Probe: ms("gp"), Wait: ms("gw"), Dual: ms("gd")})
 		told = c.core.RulesTold()
+		flying, _ := strconv.Atoi(m.fields["fl"])
+		if part, cold := c.core.SlowStart(m.fields["gn"], flying, SlowStartTerms*max(ms("gp"), time.Millisecond)); cold {
+			told = append(told, "c", strconv.Itoa(part))
+		}
 	}
 	c.write(func(b []byte) []byte { return appendProbe(b, m.id, c.core.Health(), c.signal(told)) })
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"silverpath/internal/slowstart"
 )
 
 // Config sets up a Table. 0 is the default.
@@ -143,6 +145,7 @@
 	boot     int64                    // Unix milliseconds of its start, as it says; 0: it does not
 	lostAt   time.Duration            // when an incarnation that may have run sheets was last there; 0: none was lost
 	lostKeys bool
+	cold     slowstart.Caller
 	met      bool // it has answered this router: until then nobody knows whether it started anew
 }
 
@@ -206,6 +209,7 @@
 		t.counts.ColdBack++
 		s.lostKeys, s.lostAt, s.since = true, now, now
 		if boot != 0 { // what ran before ran before it started
+			s.cold.Starts()
 			s.lostAt = now - time.Duration(max(0, wall-until))*time.Millisecond
 		}
 		s.tries, s.fails, s.circuit, s.ejected, s.latency = 0, 0, Closed, 0, firstLatency.Seconds()
@@ -216,6 +220,24 @@
 	}
 }
 
+// Probed is told what a server's answer to a probe said of its slow start: the part of it that is this router's, for a term from
+// the asking on; or nothing, as it is warm.
+func (t *Table) Probed(asked time.Duration, name string, cold bool, part int, term time.Duration) {
+	if s := t.servers[name]; s != nil && cold {
+		s.cold.Told(asked, part, term)
+	} else if s != nil {
+		s.cold.Warm()
+	}
+}
+
+// Flying is how many tries are out at a server.
+func (t *Table) Flying(name string) int {
+	if s := t.servers[name]; s != nil {
+		return s.flying
+	}
+	return 0
+}
+
 // Missed is told that a probe failed, or that no connection was to be had.
 func (t *Table) Missed(now time.Duration, name string) {
 	s := t.servers[name]
@@ -244,6 +266,23 @@
 
 // ---- Tries ----
 
+// Take is asked in the moment in which a try goes to a server, and told of it where it may: many may have been told at once that
+// there is room for one.
+func (t *Table) Take(now time.Duration, name string) bool {
+	if s := t.servers[name]; s != nil && !s.cold.Room(now, s.flying) {
+		return false
+	}
+	t.Sent(name)
+	return true
+}
+
+// Unheard is told that a server is new to this router: nothing is claimed of it until it has answered a probe.
+func (t *Table) Unheard(name string) {
+	if s := t.servers[name]; s != nil {
+		s.cold.Starts()
+	}
+}
+
 // Sent is told that a try goes to a server.
 func (t *Table) Sent(name string) {
 	if s := t.servers[name]; s != nil {
@@ -335,7 +374,7 @@
 		s.circuit = Half
 	}
 	return s.health != Dead && s.circuit != Open && !(s.circuit == Half && s.trial) && now >= s.away[tenant] &&
-		s.flying < t.cfg.Open && !(s.credit > 0 && float64(s.flying) >= max(1, s.credit))
+		s.flying < t.cfg.Open && s.cold.Room(now, s.flying) && !(s.credit > 0 && float64(s.flying) >= max(1, s.credit))
 }
 
 // median is the median latency of some servers, 0 for fewer than three, which tell no outlier.
@@ -386,7 +425,7 @@
 		t.counts.Panicked++
 		good = good[:0]
 		for _, s := range all {
-			if s.name != not && now >= s.away[tenant] && s.flying < t.cfg.Open {
+			if s.name != not && now >= s.away[tenant] && s.flying < t.cfg.Open && s.cold.Room(now, s.flying) {
 				good = append(good, s)
 			}
 		}
@@ -480,7 +519,7 @@
 		return Lost
 	case s.lostKeys && now-s.lostAt < t.cfg.Window:
 		return Lost
-	case now < s.away[tenant] || s.flying >= t.cfg.Open:
+	case now < s.away[tenant] || s.flying >= t.cfg.Open || !s.cold.Room(now, s.flying):
 		return Waiting
 	}
 	return Send
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -191,12 +191,56 @@
 		for _, b := range c.boots {
 			tb.Reached(time.Hour, "s", b, c.ran, c.entered, 100000)
 		}
+		if got := tb.Home(time.Hour, "", "s"); got == Send && len(c.boots) > 1 && c.boots[0] != c.boots[1] {
+			t.Errorf("%s: a sheet goes to a start that was only heard of", name)
+		}
+		tb.Probed(time.Hour, "s", false, 0, 0) // it says that it is warm
 		if got := tb.Home(time.Hour, "", "s"); got != c.want {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
 		}
 	}
 }
 
+// A server that is cold gets no more than the part that it gave: first tries, retries and second copies alike, sheets too, also
+// where so many servers are out that health is not looked at. Without news the part ends.
+func TestSlowStartIsABound(t *testing.T) {
+	tb, now := New(Config{SlowStart: 1}), time.Hour // without the weight that eases a server in
+	tb.Members(now, map[string]float64{"s": 1, "gone": 1, "too": 1})
+	tb.Reached(now-time.Second, "s", 1000, 0, 0, 100000)
+	tb.Reached(now-time.Second, "s", 90000, 0, 95000, 100000)
+	for range deadAfter {
+		tb.Missed(now, "gone")
+		tb.Missed(now, "too")
+		tb.Sent("gone") // so that the one that is there is the better one
+		tb.Sent("too")
+	}
+	may := func(at time.Duration) (pick, home bool) {
+		for range 100 { // the others are drawn too
+			name, _ := tb.Pick(at, "", []string{"s", "gone", "too"}, "")
+			pick = pick || name == "s"
+		}
+		return pick, tb.Home(at, "", "s") != Waiting
+	}
+	check := func(what string, at time.Duration, want bool) {
+		t.Helper()
+		if pick, home := may(at); pick != want || home != want {
+			t.Errorf("%s: reads %v, sheets %v; want %v", what, pick, home, want)
+		}
+	}
+	check("only heard of", now, false)
+	tb.Probed(now, "s", true, 2, 3*time.Second)
+	check("with room", now, true)
+	tb.Sent("s")
+	check("with room for one", now, true)
+	tb.Sent("s")
+	check("full", now, false)
+	tb.Ended(now, "s", Served, time.Millisecond, true)
+	check("with one back", now, true)
+	check("without news for a term", now+3*time.Second, false)
+	tb.Probed(now+3*time.Second, "s", false, 0, 3*time.Second)
+	check("warm", now+time.Hour, true)
+}
+
 // Further tries are a share of the first ones, whatever fails; a write is tried again only on proof.
 func TestBudgets(t *testing.T) {
 	tb, _ := table(3, Config{Retries: 0.1, Hedges: 0.05})
