What can come as something shuts, closes or is handed over: a table held against the code

docs/design/crossings.md has 58 rows: two events, what must hold, the functions that see to it, and the test that forces the order. TestCrossings fails for a function, a test or a rule that is not there, and for a row that has no test and does not say so; three rows say so.

--- /dev/null
+++ b/cmd/silverpath/crossings_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// Every row of docs/design/crossings.md names code and tests that there are, or says that it has no test.
+func TestCrossings(t *testing.T) {
+	doc, err := os.ReadFile("../../docs/design/crossings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var tests strings.Builder
+	err = filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, "_test.go") {
+			text, err := os.ReadFile(path)
+			tests.Write(text)
+			return err
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := tests.String()
+	code, named, quoted := regexp.MustCompile("`([a-z]+/[a-z]+\\.go):([A-Za-z]+)`"), regexp.MustCompile("`(Test[A-Za-z]+)`"), regexp.MustCompile(`"([^"]+)"`)
+	rows := 0
+	for _, row := range strings.Split(string(doc), "\n") {
+		cells := strings.Split(row, " | ")
+		if !strings.HasPrefix(row, "| ") || len(cells) != 5 || strings.HasPrefix(row, "| what comes") || strings.HasPrefix(row, "| ---") {
+			if strings.HasPrefix(row, "| ") && len(cells) != 5 {
+				t.Errorf("not five cells: %s", row)
+			}
+			continue
+		}
+		rows++
+		places := code.FindAllStringSubmatch(cells[3], -1)
+		for _, m := range places {
+			text, err := os.ReadFile("../../internal/" + m[1])
+			if err != nil || !regexp.MustCompile(`(?m)^func (\([^)]*\) )?`+m[2]+`\(`).Match(text) {
+				t.Errorf("no %s in %s: %s", m[2], m[1], row)
+			}
+		}
+		if len(places) == 0 {
+			t.Errorf("nothing sees to it: %s", row)
+		}
+		n := 0
+		for _, m := range named.FindAllStringSubmatch(cells[4], -1) {
+			if n++; !strings.Contains(all, "func "+m[1]+"(") {
+				t.Errorf("no test %s: %s", m[1], row)
+			}
+		}
+		for _, m := range quoted.FindAllStringSubmatch(cells[4], -1) {
+			if n++; !strings.Contains(all, `{"`+m[1]+`", func(e *edge)`) {
+				t.Errorf("no rule %q: %s", m[1], row)
+			}
+		}
+		if n == 0 && !strings.HasPrefix(cells[4], "none") {
+			t.Errorf("neither a test nor said to have none: %s", row)
+		}
+	}
+	if rows < 40 {
+		t.Errorf("%d rows", rows)
+	}
+}
