--- a/internal/core/slowstart.go
+++ b/internal/core/slowstart.go
@@ -28,21 +28,36 @@
 	s.cold, s.started, s.shares = cold, started, slowstart.NewServer(time.Since(started), callers)
 }
 
-// SlowStart is how many requests a router that asks may have out here for a term from its asking, and whether there is such a
-// bound. Flying are those that it has out.
-func (c *Core) SlowStart(who string, flying int, term time.Duration) (part int, cold bool) {
+// Cold reports whether the server is in its slow start, as routers are told with every answer: one that hears of the start so
+// claims nothing until it has asked for its part.
+func (c *Core) Cold() bool {
 	s := &c.starting
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	_, cold := s.whole(c)
+	return cold
+}
+
+// whole is what the server takes at once, and whether it is cold. It is called under the lock.
+func (s *slowStart) whole(c *Core) (whole float64, cold bool) {
 	if !s.cold || !c.cell {
 		return 0, false
 	}
 	set := *c.set.Load()
 	set.Cold = true
-	up := time.Since(s.started)
-	whole, cold := slowstart.Whole(set, up)
-	if s.cold = cold; !cold {
+	whole, s.cold = slowstart.Whole(set, time.Since(s.started))
+	return whole, s.cold
+}
+
+// SlowStart is how many requests a router that asks may have out here for a term from its asking, and whether there is such a
+// bound. Flying are those that it has out.
+func (c *Core) SlowStart(who string, flying int, term time.Duration) (part int, cold bool) {
+	s := &c.starting
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	whole, cold := s.whole(c)
+	if !cold {
 		return 0, false
 	}
-	return s.shares.Part(up, who, flying, whole, term), true
+	return s.shares.Part(time.Since(s.started), who, flying, whole, term), true
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -258,8 +258,9 @@
 	defer r.mu.Unlock()
 	if good { // one that says that it is unwell is there all the same: it drains, and knows its sheets
 		r.reached(s.Name, a.Fields)
-		part, _ := strconv.Atoi(a.Fields["c"])
-		r.table.Probed(asked, s.Name, a.Fields["c"] != "", part, msgpackrpc.SlowStartTerms*every)
+		if part, err := strconv.Atoi(a.Fields["c"]); err == nil {
+			r.table.Probed(asked, s.Name, part, msgpackrpc.SlowStartTerms*every)
+		}
 	} else {
 		r.table.Missed(r.clock(), s.Name)
 	}
@@ -275,6 +276,9 @@
 	}
 	ran, _ := strconv.ParseInt(fields["l"], 10, 64)
 	r.table.Reached(r.clock(), name, boot, ran, entered, time.Now().UnixMilli())
+	if fields["cs"] == "" {
+		r.table.Warm(name)
+	}
 	if p := r.peers[name]; p != nil {
 		p.boot.Store(boot)
 	}
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -292,6 +292,9 @@
 	}
 	if boot, cell := c.core.Boot(); cell {
 		pairs = append(pairs, "b", strconv.FormatInt(boot, 10))
+		if c.core.Cold() {
+			pairs = append(pairs, "cs", "1")
+		}
 		if ran := c.core.Ran(); ran != 0 {
 			pairs = append(pairs, "l", strconv.FormatInt(ran, 10))
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -221,11 +221,16 @@
 }
 
 // Probed is told what a server's answer to a probe said of its slow start: the part of it that is this router's, for a term from
-// the asking on; or nothing, as it is warm.
-func (t *Table) Probed(asked time.Duration, name string, cold bool, part int, term time.Duration) {
-	if s := t.servers[name]; s != nil && cold {
+// the asking on.
+func (t *Table) Probed(asked time.Duration, name string, part int, term time.Duration) {
+	if s := t.servers[name]; s != nil {
 		s.cold.Told(asked, part, term)
-	} else if s != nil {
+	}
+}
+
+// Warm is told that a server has answered and said nothing of a slow start.
+func (t *Table) Warm(name string) {
+	if s := t.servers[name]; s != nil {
 		s.cold.Warm()
 	}
 }
