--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -280,6 +280,39 @@
 	return f.Listener.Accept()
 }
 
+// One newcomer has one connection give way, however often room is looked for while that one lingers.
+func TestOneGivesWayForOne(t *testing.T) {
+	e := newEcho(t, 3)
+	e.linger = 300 * time.Millisecond
+	close(e.turn)
+	for range 3 {
+		read(t, e.dial(t, "a"), "a")
+	}
+	until(t, "all have rested", func() bool {
+		e.Listener.mu.Lock()
+		defer e.Listener.mu.Unlock()
+		n := 0
+		for s := range e.slots {
+			if s.idle(idleGrace) {
+				n++
+			}
+		}
+		return n == 3
+	})
+	c := e.dial(t, "b") // the clients that rest end nothing: one of them lingers for as long as it may
+	for range 20 {
+		select {
+		case e.freed <- struct{}{}: // as of one that was over before
+		default:
+		}
+		time.Sleep(time.Millisecond)
+	}
+	read(t, c, "b")
+	if n := e.stats.Get("evicted", "test"); n != 1 {
+		t.Errorf("%d gave way for one", n)
+	}
+}
+
 // Out of descriptors, accepting neither spins nor stops: the connection that is missed least gives way, one line a second says
 // so, and who waits is served as soon as there is room.
 func TestNoDescriptors(t *testing.T) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -464,8 +464,11 @@
 				continue
 			}
 		}
+		wants := len(l.slots)-l.lingering() >= l.most // else there is room as soon as one that gave way is over
 		l.mu.Unlock()
-		l.makeRoom()
+		if wants {
+			l.makeRoom()
+		}
 		select {
 		case <-l.freed:
 		case <-time.After(idleGrace / 2):
@@ -473,6 +476,16 @@
 	}
 }
 
+// lingering is how many connections have given way already. It is called under the lock.
+func (l *Listener) lingering() (n int) {
+	for s := range l.slots {
+		if s.ended {
+			n++
+		}
+	}
+	return n
+}
+
 // makeRoom has the idle connection that is missed least give way, where there is one.
 func (l *Listener) makeRoom() {
 	l.mu.Lock()
@@ -548,7 +561,7 @@
 func (l *Listener) SetMost(most int) {
 	l.mu.Lock()
 	l.most = max(1, most)
-	over := len(l.slots) - l.most
+	over := len(l.slots) - l.lingering() - l.most
 	var idle []*Slot
 	for s := range l.slots {
 		if s.idle(idleGrace) {
