What was read together with the message before it keeps its place

Read once more: messages that were read at once lie in the reader's buffer, where a look at the socket does not see them, and a connection counted as resting between two of them; given up there, a whole request that had been read was dropped. The place is kept while the buffer holds anything (msgpackrpc Serve). TestReadAheadKeepsItsPlace: 'it is not taken' without the guard, 3 of 3 with it.

--- a/internal/msgpackrpc/close_test.go
+++ b/internal/msgpackrpc/close_test.go
@@ -192,6 +192,36 @@
 	})
 }
 
+// What was read together with the message before it is not seen on the connection any more: it keeps its place all the same.
+func TestReadAheadKeepsItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := pipes.Listen()
+		w, l, _ := serve(t, p, 10)
+		conn, whole := p.Dial(), ask(2)
+		go conn.Write(append(AppendProbe(nil, 1), whole[:20]...))
+		r := bufio.NewReader(conn)
+		if a, err := ReadReply(r); err != nil || !a.Good {
+			t.Fatalf("%+v, %v", a, err)
+		}
+		l.End(100 * time.Millisecond) // ends what rests
+		go conn.Write(whole[20:])
+		synctest.Wait()
+		select {
+		case id := <-w.runs:
+			w.Ended(id, silverpath.OK, 0, []byte("done"))
+		default:
+			t.Error("it is not taken")
+		}
+		if a, err := ReadReply(r); err != nil || string(a.Body) != "done" {
+			t.Errorf("%+v, %v", a, err)
+		}
+		conn.Close()
+		l.Close()
+		w.Stop()
+		time.Sleep(time.Minute)
+	})
+}
+
 // The buffer of an answer that is being written belongs to it until it is: what others are told meanwhile comes from others.
 func TestBufferOfAnAnswerBeingWritten(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // a pool has buffers for each
--- a/internal/msgpackrpc/front.go
+++ b/internal/msgpackrpc/front.go
@@ -113,7 +113,9 @@
 			break // its place was given up as this came: nothing of it ran
 		}
 		err = c.take(m, &requests)
-		slot.Rest()
+		if r.Buffered() == 0 {
+			slot.Rest()
+		} // else more has been read already, which nobody can see on the connection
 	}
 	// What comes to a half is no request. It costs nobody an answer: what was asked before it is answered as long as the
 	// other side may read.
