What is owed at the end of a drain is answered though the module is held up

The module answers all 100 ms before the stop, on a tick that comes within 40 ms; where the process got no core for that, drain() gave up at 60 ms before it (service/drain.go, case end.C) with the answer owed. Now the core answers what is left then (AnswerAll), refusing what never ran, and its writes have half of what is left.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -281,6 +281,25 @@
 	return c.owed == 0
 }
 
+// AnswerAll is the backstop at the end of the process, as expire is at a request's due time: whatever holds the module up, what
+// is still owed is answered now. What never ran is refused where that is known.
+func (c *Core) AnswerAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.tasks {
+		if t.word != owed {
+			continue
+		}
+		a := Answer{Outcome: Failed}
+		if !t.ran && t.repeats == nil && !(c.blind && t.sheet()) {
+			a = Answer{Outcome: Refused, Wait: c.set.Load().MaxAdvice}
+		}
+		c.stats.Inc("backstop")
+		c.answer(t, a)
+		c.decide(func(m *silverpath.Shedder, now time.Duration) { m.Gone(now, t.ID) })
+	}
+}
+
 // Owed returns the number of requests that have not had their answer.
 func (c *Core) Owed() int { return c.shown.Load().Owed }
 
--- a/internal/service/drain.go
+++ b/internal/service/drain.go
@@ -35,13 +35,13 @@
 	// A socket that the platform holds refuses nobody: who connects then waits, unread. So while no other process takes
 	// such connections they are taken here, and told to go elsewhere.
 	listening := s.pair != nil && !s.core.Successor()
-	lastTaken := began.Add(stop - exitBefore - 2*settle)
+	lastTaken := began.Add(stop - s.exitBefore - 2*settle)
 	if !listening {
 		s.closeListeners()
 	}
-	end := time.NewTimer(stop - exitBefore - time.Since(began))
+	end := time.NewTimer(stop - s.exitBefore - time.Since(began))
 	defer end.Stop()
-	finish := time.NewTimer(stop - exitBefore - endFor - time.Since(began))
+	finish := time.NewTimer(stop - s.exitBefore - endFor - time.Since(began))
 	defer finish.Stop()
 	var ending sync.WaitGroup
 	defer ending.Wait()
@@ -51,6 +51,12 @@
 	for quiet < 2 || listening {
 		select {
 		case <-end.C:
+			if s.core.Owed() > 0 {
+				s.core.AnswerAll()
+				for last := time.Now().Add(s.exitBefore / 2); s.core.Owed() > 0 && time.Now().Before(last); {
+					time.Sleep(time.Millisecond)
+				}
+			}
 			if n := s.core.Owed(); n > 0 {
 				s.core.Stop()
 				return fmt.Errorf("drain: %d requests were not answered before the end", n)
--- a/internal/service/drain_test.go
+++ b/internal/service/drain_test.go
@@ -83,7 +83,8 @@
 		t.Fatal(err)
 	}
 	defer way.Close()
-	s, leave, done := leaving(t, way.Addr(), 2*time.Second)
+	s, leave, done := leaving(t, way.Addr(), 4*time.Second)
+	s.exitBefore = 2 * time.Second // long before the module would answer: it may be held up, as on a loaded machine
 	p := dial(t, s.Addrs()[0], append(call(1, "a"), call(2, "hold")...))
 	p.expect(t, 1, "", "")
 	for s.stats.Get("read", "msgpack", "krog") < 2 {
@@ -96,6 +97,9 @@
 	leave()
 	p.expect(t, 0, "lastCall", "")
 	p.expect(t, 2, "", "Error")
+	if n := s.stats.Get("backstop"); n != 1 {
+		t.Errorf("%d answered by the backstop, want the one in hand", n)
+	}
 	if err := <-done; err != nil {
 		t.Error(err)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -67,32 +67,33 @@
 
 // Service is one running service.
 type Service struct {
-	cfg       settings.Config
-	parts     Parts
-	log       *log.Logger
-	stats     *stats.Counters
-	core      *core.Core
-	listeners []*front.Listener
-	keep      []func(context.Context)
-	agent     *snmp.Agent
-	mgmt      *mgmt.Server         // nil: none
-	link      *interp.Link         // nil where an application server does the work
-	below     *vault.Client        // likewise
-	fleet     *fleet.Runner        // nil but in a router
-	orders    *orders.Orders       // nil: it takes no orders of the fleet
-	follow    *follow.Follower     // nil: it acts on its own files alone
-	store     *store.Store         // nil: what ran is forgotten with the process
-	life      *life.Keeper         // nil: it leaves no signs of life
-	tuning    sync.Mutex           // of what holds at present of cfg, and of these:
-	classes   int                  // times that the group's classes were taken up
-	agreed    bool                 // the classes are the group's
-	pair      *pair.Pair           // nil: no process takes over from this one
-	shares    []share              // of the descriptors, by listener
-	worker    *standin.Interpreter // nil but in a start without a configuration
-	reporter  *announce.Reporter   // reports nowhere while its address is empty
-	lead      time.Duration        // from the notice to leave until peers are asked to leave too
-	tries     time.Time            // until then an address that is taken is tried again
-	leave     <-chan struct{}      // the notice to leave, while the service opens; nil: none can come
+	cfg        settings.Config
+	parts      Parts
+	log        *log.Logger
+	stats      *stats.Counters
+	core       *core.Core
+	listeners  []*front.Listener
+	keep       []func(context.Context)
+	agent      *snmp.Agent
+	mgmt       *mgmt.Server         // nil: none
+	link       *interp.Link         // nil where an application server does the work
+	below      *vault.Client        // likewise
+	fleet      *fleet.Runner        // nil but in a router
+	orders     *orders.Orders       // nil: it takes no orders of the fleet
+	follow     *follow.Follower     // nil: it acts on its own files alone
+	store      *store.Store         // nil: what ran is forgotten with the process
+	life       *life.Keeper         // nil: it leaves no signs of life
+	tuning     sync.Mutex           // of what holds at present of cfg, and of these:
+	classes    int                  // times that the group's classes were taken up
+	agreed     bool                 // the classes are the group's
+	pair       *pair.Pair           // nil: no process takes over from this one
+	shares     []share              // of the descriptors, by listener
+	worker     *standin.Interpreter // nil but in a start without a configuration
+	reporter   *announce.Reporter   // reports nowhere while its address is empty
+	exitBefore time.Duration        // see there
+	lead       time.Duration        // from the notice to leave until peers are asked to leave too
+	tries      time.Time            // until then an address that is taken is tried again
+	leave      <-chan struct{}      // the notice to leave, while the service opens; nil: none can come
 }
 
 // share is a listener's part of the descriptors.
@@ -113,7 +114,7 @@
 // open is New with patience: an address that is taken, as by the process before this one, which has not ended yet, is tried
 // again for so long, or until the notice to leave.
 func open(cfg settings.Config, l *log.Logger, parts Parts, patience time.Duration, leave <-chan struct{}) (*Service, error) {
-	s := &Service{cfg: cfg, parts: parts, log: l, stats: &stats.Counters{}, lead: lead(cfg), tries: time.Now().Add(patience), leave: leave}
+	s := &Service{cfg: cfg, parts: parts, log: l, stats: &stats.Counters{}, lead: lead(cfg), exitBefore: exitBefore, tries: time.Now().Add(patience), leave: leave}
 	build := s.asServer
 	if cfg.Edge.Fleet != nil {
 		build = s.asRouter
