--- a/review/lib.sh
+++ b/review/lib.sh
@@ -3,6 +3,9 @@
 # Everything listens on free ports of 127.0.0.1. Configurations, logs and state are in a temporary folder, which is removed at the end.
 # Every process that is started is ended by its id when the script ends.
 
+# No script runs for longer than 115 s.
+[ -n "${REVIEW_LIMITED:-}" ] || REVIEW_LIMITED=1 exec timeout --preserve-status --kill-after=3 112 bash "$0"
+
 root=$(cd "$here/../.." && pwd)
 standin=$root/review/bin/standin
 silverpath=$root/bin/silverpath
@@ -19,6 +22,7 @@
     rm -rf "$work"
 }
 trap cleanup EXIT
+trap "exit 2" HUP INT TERM
 
 note() { echo "$(date +%s%3N) $*" | tee -a "$record"; }
 
