--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,6 +2,7 @@
 # A reload lengthens the class's window while a request that ran under the shorter one may still be repeated. See claim.txt.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
+record=$here/record.txt # what was sent, answered and run
 . "$here/../lib.sh"
 
 mapfile -t port < <("$standin" ports 2)
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,4 +1,5 @@
-# Functions that the scripts of the review share. A script sets "here" to its own folder and sources this file.
+# Functions that the scripts of the review share. A script sets "here" to its own folder and
+# "record" to the file that it writes there, and sources this file.
 #
 # Everything listens on free ports of 127.0.0.1. Configurations, logs and state are in a temporary folder, which is removed at the end.
 # Every process that is started is ended by its id when the script ends.
@@ -10,7 +11,6 @@
 standin=$root/review/bin/standin
 silverpath=$root/bin/silverpath
 trouble=${TROUBLE:-1}
-record=$here/record.txt
 work=$(mktemp -d)
 pids=()
 
