A longer memory_span applies to runs that are remembered already

Cause: Core.reconfigure replaced the settings, but an entry of the key table kept the expiry that keyTable.markStarted had computed from the class of the task, so evictExpired removed it by the old window. The same held for a request that was queued during the reload, for a key that a router had asked for (movedUntil), for a longer deadline, and for a class with a new name. A request whose class was read just before a reload and registered after it kept the old class too.

Change: an entry has the longest terms (window and deadline) that were in force since its first attempt, and its expiry follows from them. setTerms applies new terms to all entries, under the lock under which the settings change; the class of a request is now read under that lock. Attempts are matched by the entry's window if that is longer. The module counts the memory of keys for as long as they are kept.

--- /dev/null
+++ b/cmd/silverpath/retention_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"silverpath/internal/testkit/benchmarks"
+)
+
+// Windows of the class in these tests. With the deadline of 1 s, a run under the short one was forgotten after 3.2 s.
+const (
+	shortWindow = 200 * time.Millisecond
+	longWindow  = 20 * time.Second
+	forgotten   = 5 * time.Second // after a run, by the short window
+)
+
+// reloadWindow changes memory_span in the configuration of a process and waits until the process has reloaded it.
+func reloadWindow(t *testing.T, g *benchmarks.Generation, window time.Duration) {
+	t.Helper()
+	text, err := os.ReadFile(g.File)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, rest, _ := strings.Cut(string(text), `"memory_span":`)
+	next := fmt.Sprintf(`%s"memory_span":%d%s`, before, window.Microseconds(), rest[strings.IndexAny(rest, ",}"):])
+	if err := os.WriteFile(g.File, []byte(next), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	lines := g.LineCount()
+	_ = g.Signal(syscall.SIGHUP)
+	if _, err := g.Await(5*time.Second, lines, "reload: done"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// serveOnce sends the first attempt of a request and returns the time at which it was sent.
+func (d *durableService) serveOnce(key string) time.Time {
+	d.t.Helper()
+	sentAt := time.Now()
+	if a := d.sendAttempt(key, key); a.Outcome != "served" {
+		d.t.Fatalf("first attempt of %s: got %s, want served", key, a.Outcome)
+	}
+	return sentAt
+}
+
+// checkRanOnce sends another attempt of a request some time after the first one. The request must not have run again.
+func (d *durableService) checkRanOnce(key string, first time.Time, after time.Duration) {
+	d.t.Helper()
+	time.Sleep(time.Until(first.Add(after)))
+	a := d.sendAttempt(key, key)
+	if n := d.Runs()[key]; n != 1 || a.Outcome == "refused" {
+		d.t.Errorf("%s: %d runs, the attempt after %v was %s; want 1 run, and not refused", key, n, after, a.Outcome)
+	}
+}
+
+// Guards against a second run after a reload that lengthens the window of a class: the record of the run expired by the window that it
+// had run under.
+func TestReloadLengthensTheWindow(t *testing.T) {
+	t.Parallel()
+	d := newDurableService(t)
+	d.span, d.Args = shortWindow, nil
+	g := d.Start()
+	g.AwaitReady(t)
+	first := d.serveOnce("sheet")
+	reloadWindow(t, g, longWindow)
+	d.checkRanOnce("sheet", first, forgotten)
+}
--- a/idempotency.go
+++ b/idempotency.go
@@ -46,11 +46,36 @@
 	switch {
 	case c.Effect == Idempotent:
 		s.host.RememberKey(r.ID, c.IdempotencyWindow)
-		s.remembered.add(r.ID, s.now+c.IdempotencyWindow+tickInterval, s.settings.KeyKB)
+		s.remembered.add(keyEntry{id: r.ID, class: c.Name, addedAt: s.now,
+			expiresAt: s.now + c.IdempotencyWindow + tickInterval, memoryKB: s.settings.KeyKB})
 	case c.Effect == Safe && s.settings.FreshFor > 0 && r.Key != "" && r.DuplicateOf == "" &&
 		s.memoryKB+s.remembered.memoryKB+s.settings.KeyKB <= freshMemoryRatio*s.settings.MemoryKB:
 		s.host.RememberKey(r.ID, c.Objective+s.settings.FreshFor)
-		s.remembered.add(r.ID, s.now+c.Objective+s.settings.FreshFor+tickInterval, s.settings.KeyKB)
+		s.remembered.add(keyEntry{id: r.ID, addedAt: s.now,
+			expiresAt: s.now + c.Objective + s.settings.FreshFor + tickInterval, memoryKB: s.settings.KeyKB})
+	}
+}
+
+// extendKeys counts the memory of remembered requests for longer if new settings lengthen the window of
+// their class, because the host keeps their keys for longer then. Requests of a class that is gone may
+// return under any other class.
+func (s *Shedder) extendKeys() {
+	longest := time.Duration(0)
+	for _, c := range s.classes {
+		if c.Effect == Idempotent {
+			longest = max(longest, c.IdempotencyWindow)
+		}
+	}
+	for i := range s.remembered.entries {
+		e := &s.remembered.entries[i]
+		if e.class == "" {
+			continue
+		}
+		window := longest
+		if c := s.classByName[e.class]; c != nil && c.Effect == Idempotent {
+			window = c.IdempotencyWindow
+		}
+		e.expiresAt = max(e.expiresAt, e.addedAt+window+tickInterval)
 	}
 }
 
@@ -72,6 +97,8 @@
 // keyEntry is one remembered request.
 type keyEntry struct {
 	id        string
+	class     string // empty unless the class is Idempotent
+	addedAt   time.Duration
 	expiresAt time.Duration
 	memoryKB  float64
 }
@@ -80,12 +107,12 @@
 
 func (t *keyTable) contains(id string) bool { return t.ids[id] }
 
-// add remembers an ID, unless it is remembered already.
-func (t *keyTable) add(id string, expiresAt time.Duration, memoryKB float64) {
-	if !t.ids[id] {
-		t.ids[id] = true
-		t.entries = append(t.entries, keyEntry{id, expiresAt, memoryKB})
-		t.memoryKB += memoryKB
+// add remembers a request, unless its ID is remembered already.
+func (t *keyTable) add(e keyEntry) {
+	if !t.ids[e.id] {
+		t.ids[e.id] = true
+		t.entries = append(t.entries, e)
+		t.memoryKB += e.memoryKB
 	}
 }
 
--- a/idempotency_test.go
+++ b/idempotency_test.go
@@ -20,3 +20,23 @@
 		t.Errorf("no memory for its key: %v", h.lines)
 	}
 }
+
+// Guards against memory that is counted as free while the host still uses it: after a reload that lengthens
+// the window of a class, the host keeps earlier keys for longer.
+func TestMemoryOfKeysFollowsALongerWindow(t *testing.T) {
+	s, _ := newTestShedder(t, func(set *Settings) { set.KeyKB = 9 })
+	s.Arrive(0, testRequest("a", "book"))
+	longer := testSettings()
+	longer.Classes[1].IdempotencyWindow *= 10
+	if err := s.Reconfigure(time.Millisecond, longer); err != nil {
+		t.Fatal(err)
+	}
+	s.remembered.expire(longer.Classes[1].IdempotencyWindow)
+	if s.remembered.memoryKB != 9 {
+		t.Errorf("%v KB are counted for the key, want 9", s.remembered.memoryKB)
+	}
+	s.remembered.expire(longer.Classes[1].IdempotencyWindow + time.Second)
+	if s.remembered.memoryKB != 0 {
+		t.Errorf("%v KB are counted after the longer window, want none", s.remembered.memoryKB)
+	}
+}
--- a/internal/core/arrival.go
+++ b/internal/core/arrival.go
@@ -12,21 +12,24 @@
 // arrive registers a request and reports it to the module. If one of the core's own limits rejects the request, it returns a nil
 // task and the answer. These limits protect the process and are far above what the module admits.
 func (c *Core) arrive(r Request) (*task, Answer) {
+	startedAt := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lockWait.Record(time.Since(startedAt))
 	class, known := c.Class(r.Class)
 	classLabel := r.Class
 	if !known {
 		classLabel = "unknown" // the set of counters must stay bounded, and class names on the wire are not
 	}
 	c.stats.Inc("read", r.Front, classLabel)
-	startedAt := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lockWait.Record(time.Since(startedAt))
 	if a, answered := c.claimKey(&r, class); answered { // releases the lock while it waits for a key that another process may own
 		c.stats.Inc("answered", r.Front, classLabel, a.Outcome.String())
 		return nil, a
 	}
 	defer c.releaseClaim(&r, class)
+	if current, ok := c.Class(r.Class); ok { // the settings may have changed during the wait
+		class = current
+	}
 	t := &task{Request: r, class: class, readAt: time.Now(), wake: make(chan struct{}, 1)}
 	if reason, a := c.admit(t, known); reason != "" {
 		if a.Outcome == Rejected && c.mayHaveRunElsewhere(t) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 //	arrival.go      limits that apply on arrival, before the module is asked
 //	task.go         the record of a request in progress, and its events
 //	idempotency.go  the key table: attempts of one request share one execution
+//	retention.go    how long keys are kept while the settings change
 //	persistence.go  waiting for the disk, if runs are persisted
 //	peer.go         the other process during a hot restart
 //	peerkeys.go     the other process's runs in the key table
@@ -140,6 +141,7 @@
 	}
 	settings := supportedSettings(cfg.Settings)
 	c.settings.Store(&settings)
+	c.keys.setTerms(classTerms(settings.Classes))
 	if c.stats == nil {
 		c.stats = &metrics.Counters{}
 	}
--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -10,8 +10,8 @@
 
 // Attempts of one idempotent request share one execution. A request of an idempotent class has a key that all its attempts carry.
 // The first attempt runs, and the others get its result. An attempt belongs to an execution if the two reached the machine within
-// the class's window of each other (withinWindow). Reads of the same class and object may share an execution too, while it runs
-// and as long as its result is fresh.
+// the class's window of each other (withinWindow); retention.go handles a window that changes between the two. Reads of the same
+// class and object may share an execution too, while it runs and as long as its result is fresh.
 //
 // The inputs are the request's key, body, tenant and time of arrival, and the window and the deadline of its class. The store, the
 // routing rules and the other servers of a cell may forbid a new key to start here.
@@ -39,14 +39,16 @@
 // keyEntry holds the executions of one key.
 type keyEntry struct {
 	key         string
+	class       string     // of its attempts; empty if it is unknown or they have several
 	queued      *execution // not started yet
 	latest      *execution // the latest that was started
 	expiresAt   time.Time
-	window      time.Duration // maximum distance between attempts of one request
-	movedUntil  time.Time     // until then the key runs elsewhere: a router asked for it when it was not known here
-	movedRecord uint64        // number of the stored record of the move; 0 if there is none
-	isRead      bool          // the key is of a shared read
-	bytes       int           // memory of the entry, results included
+	terms       idempotency.Terms // the longest in force since its first attempt arrived; see retention.go
+	movedAt     time.Time         // when a router last asked for the key while it was not known here; zero if none has
+	movedUntil  time.Time         // until then the key runs elsewhere
+	movedRecord uint64            // number of the stored record of the move; 0 if there is none
+	isRead      bool              // the key is of a shared read
+	bytes       int               // memory of the entry, results included
 }
 
 // keyTable links the attempts of requests. A key is kept from its first attempt's arrival on, and for its whole window once it has
@@ -56,7 +58,8 @@
 	entries     map[string]*keyEntry
 	bytes       int
 	maxBytes    int
-	fingerprint func(t *task) uint64 // hash of what all attempts of a request have in common
+	terms       idempotency.ClassTerms // of the classes in force
+	fingerprint func(t *task) uint64   // hash of what all attempts of a request have in common
 	// admitFirst decides on the first attempt of a key by the checks that UseStore and AddGate have added. If it is nil, all first
 	// attempts may run.
 	admitFirst func(t *task) idempotency.Decision
@@ -105,6 +108,10 @@
 	fingerprint := k.fingerprint(t)
 	e := k.entries[key]
 	if e != nil && e.duplicates(t, fingerprint, freshFor, now) {
+		if t.duplicateOf != nil && !e.isRead {
+			e.noteClass(t.class)
+			e.retain()
+		}
 		return true
 	}
 	if k.blocksFirstAttempt(t, e, now) {
@@ -115,7 +122,10 @@
 	}
 	if e == nil {
 		e = k.add(key)
-		e.isRead = t.class.Effect == silverpath.Safe
+		e.class, e.isRead = t.class.Name, t.class.Effect == silverpath.Safe
+	}
+	if !e.isRead {
+		e.noteClass(t.class)
 	}
 	if t.OnlyIfKnown {
 		e.markMoved(t, now)
@@ -137,7 +147,7 @@
 		return true
 	}
 	x := e.queued
-	if x == nil && e.latest != nil && withinWindow(t.ReceivedAt, e.latest.receivedAt, t.class.IdempotencyWindow) {
+	if x == nil && e.repeatsLatest(t.ReceivedAt, t.class.IdempotencyWindow) {
 		x = e.latest
 	}
 	switch {
@@ -179,19 +189,24 @@
 // markMoved records that a router has asked for a key that is not known here. The router runs it elsewhere from then on.
 func (e *keyEntry) markMoved(t *task, now time.Time) {
 	t.movedReason = ReasonUnknown
-	e.movedUntil = maxTime(e.movedUntil, now.Add(t.class.IdempotencyWindow+t.class.Deadline+readDelay))
-	e.expiresAt = maxTime(e.expiresAt, e.movedUntil)
+	e.movedAt = now
+	e.retain()
 }
 
 // addExecution adds the execution of the first attempt of a key.
 func (e *keyEntry) addExecution(t *task, fingerprint uint64) {
-	e.expiresAt, e.window = maxTime(e.expiresAt, t.Deadline.Add(readDelay)), max(e.window, t.class.IdempotencyWindow)
+	e.expiresAt = maxTime(e.expiresAt, t.Deadline.Add(readDelay))
 	t.execution = &execution{requestID: t.ID, fingerprint: fingerprint, entry: e, receivedAt: t.ReceivedAt}
 	if !e.isRead {
 		e.queued = t.execution
 	}
 }
 
+// repeatsLatest reports whether an attempt, whose class has the given window, repeats the latest run of the key.
+func (e *keyEntry) repeatsLatest(receivedAt time.Time, window time.Duration) bool {
+	return e.latest != nil && withinWindow(receivedAt, e.latest.receivedAt, max(window, e.terms.Window))
+}
+
 // withinWindow reports whether an attempt and a run reached the machine within a window of each other. The order does not matter,
 // because an attempt may be read before one that reached the machine earlier.
 func withinWindow(receivedAt, ranAt time.Time, window time.Duration) bool {
@@ -225,14 +240,13 @@
 		return x != nil && x.entry.latest == x
 	}
 	e := x.entry
-	if e.latest != nil && withinWindow(x.receivedAt, e.latest.receivedAt, t.class.IdempotencyWindow) {
+	if e.repeatsLatest(x.receivedAt, t.class.IdempotencyWindow) {
 		return false
 	}
 	k.dropResult(e)
 	x.previous = e.latest
 	e.queued, e.latest = nil, x
-	// Until the last attempt inside the window is past its deadline, even if it is read late.
-	e.expiresAt = maxTime(e.expiresAt, x.receivedAt.Add(t.class.IdempotencyWindow+t.class.Deadline+readDelay))
+	e.retain()
 	return true
 }
 
--- a/internal/core/peerkeys.go
+++ b/internal/core/peerkeys.go
@@ -16,12 +16,14 @@
 	if e == nil {
 		e = k.add(m.Key)
 	}
-	e.expiresAt, e.window = maxTime(e.expiresAt, time.Unix(0, m.ExpiresAt)), max(e.window, m.Window)
+	e.expiresAt, e.terms.Window = maxTime(e.expiresAt, time.Unix(0, m.ExpiresAt)), max(e.terms.Window, m.Window)
 	x := k.peerExecution(e, m)
 	if x == nil {
+		k.extend(e)
 		return nil
 	}
 	x.requestID, x.fingerprint, x.receivedAt = m.ID, m.Fingerprint, time.Unix(0, m.ReceivedAt)
+	k.extend(e)
 	x.peerQueued = m.Stage == hotrestart.Queued
 	if m.Stage >= hotrestart.Succeeded {
 		x.done, x.succeeded, x.endedAt = true, m.Stage == hotrestart.Succeeded, now
@@ -45,7 +47,7 @@
 		return x // a later stage of the same run
 	case x != nil && x.requestID == m.ID:
 		return nil // its end is already recorded
-	case x != nil && !x.peerOwned && withinWindow(time.Unix(0, m.ReceivedAt), x.receivedAt, e.window):
+	case x != nil && !x.peerOwned && e.repeatsLatest(time.Unix(0, m.ReceivedAt), m.Window):
 		return nil
 	}
 	k.dropResult(e)
@@ -86,7 +88,7 @@
 
 // forPeer returns the form of an execution that is sent to the other process.
 func (x *execution) forPeer() hotrestart.Execution {
-	m := hotrestart.Execution{Key: x.entry.key, ID: x.requestID, Fingerprint: x.fingerprint, ReceivedAt: x.receivedAt.UnixNano(), Window: x.entry.window,
+	m := hotrestart.Execution{Key: x.entry.key, ID: x.requestID, Fingerprint: x.fingerprint, ReceivedAt: x.receivedAt.UnixNano(), Window: x.entry.terms.Window,
 		ExpiresAt: x.entry.expiresAt.UnixNano(), Remote: x.peerOwned}
 	switch {
 	case x.entry.queued == x || x.peerOwned && x.peerQueued:
@@ -111,7 +113,7 @@
 		return hotrestart.Execution{}, false
 	}
 	x := e.queued
-	if x == nil && e.latest != nil && withinWindow(time.Unix(0, receivedAt), e.latest.receivedAt, e.window) {
+	if x == nil && e.repeatsLatest(time.Unix(0, receivedAt), 0) {
 		x = e.latest
 	}
 	if x == nil {
--- a/internal/core/persistence.go
+++ b/internal/core/persistence.go
@@ -75,7 +75,7 @@
 
 // storeRecord returns the stored form of an execution, without its result.
 func (x *execution) storeRecord() idempotency.Record {
-	return idempotency.Record{Seq: x.recordSeq, Key: x.entry.key, ID: x.requestID, Fingerprint: x.fingerprint, Window: x.entry.window}
+	return idempotency.Record{Seq: x.recordSeq, Key: x.entry.key, ID: x.requestID, Fingerprint: x.fingerprint, Window: x.entry.terms.Window}
 }
 
 // persistStart writes the intent to run an idempotent request. It returns false if runs are not persisted. Otherwise
@@ -204,10 +204,8 @@
 // LongestWindow returns how long after a run a further attempt may be read, over all idempotent classes: the window in which the
 // attempt reaches the machine, its deadline, and the delay of reading.
 func (c *Core) LongestWindow() (longest time.Duration) {
-	for _, k := range c.settings.Load().Classes {
-		if k.Effect == silverpath.Idempotent {
-			longest = max(longest, k.IdempotencyWindow+k.Deadline+readDelay+windowSlack)
-		}
+	for _, terms := range classTerms(c.settings.Load().Classes) {
+		longest = max(longest, retentionOf(terms)+windowSlack)
 	}
 	return longest
 }
@@ -228,14 +226,16 @@
 	if e == nil {
 		e = k.add(r.Key)
 	}
-	e.expiresAt, e.window = maxTime(e.expiresAt, timeAt(r.ExpiresAt)), max(e.window, r.Window)
+	e.expiresAt, e.terms.Window = maxTime(e.expiresAt, timeAt(r.ExpiresAt)), max(e.terms.Window, r.Window)
 	if r.State == idempotency.Moved {
-		e.movedUntil, e.movedRecord = maxTime(e.movedUntil, timeAt(r.ExpiresAt)), r.Seq
+		e.movedAt, e.movedUntil, e.movedRecord = timeAt(r.RecordedAt), maxTime(e.movedUntil, timeAt(r.ExpiresAt)), r.Seq
+		k.extend(e)
 		return
 	}
 	k.dropResult(e)
 	e.latest = &execution{requestID: r.ID, fingerprint: r.Fingerprint, entry: e, receivedAt: timeAt(r.ReceivedAt), done: true, succeeded: r.State == idempotency.Completed,
 		result: r.Result, endedAt: now, recordSeq: r.Seq}
+	k.extend(e)
 	e.bytes += len(r.Result)
 	k.bytes += len(r.Result)
 }
@@ -254,7 +254,7 @@
 			list = append(list, x.currentRecord(now, since))
 		}
 		if e.movedRecord != 0 && now.Before(e.movedUntil) {
-			list = append(list, idempotency.Record{Seq: e.movedRecord, State: idempotency.Moved, Key: e.key, Window: e.window,
+			list = append(list, idempotency.Record{Seq: e.movedRecord, State: idempotency.Moved, Key: e.key, Window: e.terms.Window,
 				RecordedAt: since(now), ExpiresAt: since(e.movedUntil)})
 		}
 	}
--- a/internal/core/settings.go
+++ b/internal/core/settings.go
@@ -17,8 +17,8 @@
 	return settings
 }
 
-// Reconfigure applies new settings completely or not at all. Requests in progress keep the class that they arrived with. The error
-// names the invalid field.
+// Reconfigure applies new settings completely or not at all. Requests in progress keep the class that they arrived with. Runs that are
+// remembered are retained by the new settings if these are longer than the old ones. The error names the invalid field.
 func (c *Core) Reconfigure(settings silverpath.Settings) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -35,6 +35,7 @@
 		return err
 	}
 	c.settings.Store(&settings)
+	c.keys.setTerms(classTerms(settings.Classes))
 	if c.pools != nil {
 		c.setGates(settings)
 	}
--- a/shedder.go
+++ b/shedder.go
@@ -92,6 +92,7 @@
 	}
 	set.Cold = s.settings.Cold
 	s.setClassesAndTenants(now, set)
+	s.extendKeys()
 	s.settings = set
 	s.decideCalls()
 	s.schedule()
