A reload that shortens memory_span waits as a change by the group does

What callers saw: after a SIGHUP that lowered memory_span, a retry inside the old window ran a second time at once; so did a retry of a request that ran just after the reload, whose caller still acted on the old window. docs/rules.md promises that a class's value shrinks only after the longer one and a caller's patience.

Cause: only Service.applyClasses, for classes from the group, kept the longer window; Service.Reload passed the shorter one to the core. That guard had a fault of its own: at its end it applied the settings of its beginning, so a reload in between was undone.

At the end of a window the current settings are applied.

--- a/cmd/silverpath/retention_test.go
+++ b/cmd/silverpath/retention_test.go
@@ -69,3 +69,18 @@
 	reloadWindow(t, g, longWindow)
 	d.checkRanOnce("sheet", first, forgotten)
 }
+
+// Guards against a second run after a reload that shortens the window of a class: the run was judged by the new window at once.
+func TestReloadShortensTheWindow(t *testing.T) {
+	t.Parallel()
+	d := newDurableService(t)
+	d.span, d.Args = longWindow, nil
+	g := d.Start()
+	g.AwaitReady(t)
+	first := d.serveOnce("sheet")
+	reloadWindow(t, g, shortWindow)
+	second := d.serveOnce("sheet-after") // its caller may not know the shorter window yet
+	reloadWindow(t, g, shortWindow)
+	d.checkRanOnce("sheet", first, time.Second)
+	d.checkRanOnce("sheet-after", second, time.Second)
+}
--- a/internal/service/classes.go
+++ b/internal/service/classes.go
@@ -18,8 +18,7 @@
 	return err
 }
 
-// applyClasses applies the group's classes. A class whose idempotency window becomes shorter keeps the old window until no request
-// that ran under it can be repeated. Otherwise a request repeated late in the old window would run a second time.
+// applyClasses applies the group's classes.
 func (s *Service) applyClasses(text string) error {
 	s.settingsMu.Lock()
 	defer s.settingsMu.Unlock()
@@ -27,48 +26,67 @@
 	if err != nil {
 		return err
 	}
-	s.classesGeneration++
 	s.classesFromGroup = true
-	interim, delay := transition(s.cfg.Server, next)
-	if err := s.core.Reconfigure(interim); err != nil {
+	return s.applySettings(next)
+}
+
+// applySettings applies new settings of the module, of a reload or of the group. A class whose idempotency window becomes shorter keeps
+// the old window until no request that ran under it can be repeated. Otherwise a request repeated late in the old window would run a
+// second time. The caller holds settingsMu. After an error nothing has changed.
+func (s *Service) applySettings(next silverpath.Settings) error {
+	now := s.clock()
+	windows := s.windows.Change(now, classWindows(next.Classes))
+	if err := s.core.Reconfigure(withWindows(next, windows, now)); err != nil {
 		return err
 	}
-	s.cfg.Server = interim
-	if delay > 0 {
-		generation := s.classesGeneration
-		time.AfterFunc(delay, func() { s.finishTransition(next, generation) })
-	}
-	events.Log(s.log, "reload.settings", describeClasses(interim))
+	s.cfg.Server, s.windows = next, windows
+	s.scheduleWindowEnd(now)
+	events.Log(s.log, "reload.settings", describeClasses(next))
 	return nil
 }
 
-// transition returns the settings to apply first when the settings change from old to next, and the delay after which next may be
-// applied. A delay of 0 means that interim equals next.
-func transition(old, next silverpath.Settings) (interim silverpath.Settings, delay time.Duration) {
-	interim = next
-	interim.Classes = slices.Clone(next.Classes)
-	for i, class := range interim.Classes {
-		for _, prev := range old.Classes {
-			if prev.Name == class.Name {
-				window, remaining := configstore.TransitionWindow(prev.IdempotencyWindow, class.IdempotencyWindow, max(prev.Deadline, class.Deadline))
-				interim.Classes[i].IdempotencyWindow, delay = window, max(delay, remaining)
-			}
-		}
+// scheduleWindowEnd schedules the end of the next window that a class keeps from earlier settings. The caller holds settingsMu.
+func (s *Service) scheduleWindowEnd(now time.Duration) {
+	if end, ok := s.windows.NextEnd(now); ok {
+		time.AfterFunc(end-now, s.endWindow)
 	}
-	return interim, delay
 }
 
-// finishTransition applies next at the end of a transition, unless newer classes were applied in the meantime. A timer calls it.
-func (s *Service) finishTransition(next silverpath.Settings, generation int) {
+// endWindow applies the current settings again, because a class may have reached the end of a window from earlier settings. A timer calls
+// it.
+func (s *Service) endWindow() {
 	s.settingsMu.Lock()
 	defer s.settingsMu.Unlock()
-	if s.classesGeneration != generation {
-		return
-	}
-	if err := s.core.Reconfigure(next); err != nil {
+	now := s.clock()
+	if err := s.core.Reconfigure(withWindows(s.cfg.Server, s.windows, now)); err != nil {
 		events.Log(s.log, "config.rejected", configstore.DocClasses, "", err)
 		return
 	}
-	s.cfg.Server = next
-	events.Log(s.log, "reload.settings", describeClasses(next))
+	s.scheduleWindowEnd(now)
+	events.Log(s.log, "reload.settings", describeClasses(s.cfg.Server))
 }
+
+// classWindows returns the idempotency windows of classes.
+func classWindows(classes []silverpath.Class) map[string]configstore.ClassWindow {
+	windows := map[string]configstore.ClassWindow{}
+	for _, class := range classes {
+		if class.Effect == silverpath.Idempotent {
+			windows[class.Name] = configstore.ClassWindow{Window: class.IdempotencyWindow, Deadline: class.Deadline}
+		}
+	}
+	return windows
+}
+
+// withWindows returns the settings with the windows that are in effect now.
+func withWindows(settings silverpath.Settings, windows configstore.WindowTransitions, now time.Duration) silverpath.Settings {
+	settings.Classes = slices.Clone(settings.Classes)
+	for i := range settings.Classes {
+		if class := &settings.Classes[i]; class.Effect == silverpath.Idempotent {
+			class.IdempotencyWindow = windows.Window(now, class.Name)
+		}
+	}
+	return settings
+}
+
+// clock returns the monotonic time since the service was opened.
+func (s *Service) clock() time.Duration { return time.Since(s.openedAt) }
--- a/internal/service/reload.go
+++ b/internal/service/reload.go
@@ -27,11 +27,9 @@
 		cfg.Server.Classes = old.Server.Classes
 	}
 	if s.cfg.SettingsChanged(cfg) {
-		if err := s.core.Reconfigure(cfg.Server); err != nil {
+		if err := s.applySettings(cfg.Server); err != nil {
 			return fmt.Errorf("settings: %w", err)
 		}
-		s.cfg.Server = cfg.Server
-		events.Log(s.log, "reload.settings", describeClasses(cfg.Server))
 	}
 	if s.builtinWorker != nil {
 		cfg.Interpreter = old.Interpreter
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -20,6 +20,7 @@
 	"silverpath/internal/controlplane/configwatch"
 	"silverpath/internal/core"
 	"silverpath/internal/metrics"
+	"silverpath/internal/policy/configstore"
 	"silverpath/internal/proxy"
 	"silverpath/internal/settings"
 	"silverpath/internal/storage/heartbeat"
@@ -72,9 +73,10 @@
 
 	loadReporter *loadreport.Reporter // sends no reports while its address is empty
 
-	settingsMu        sync.Mutex // guards cfg, which reloads and documents change, and the two fields below
-	classesGeneration int        // number of times the group's classes were applied
-	classesFromGroup  bool       // the classes come from the group's document instead of the settings file
+	openedAt         time.Time                     // zero of clock
+	settingsMu       sync.Mutex                    // guards cfg, which reloads and documents change, and the two fields below
+	windows          configstore.WindowTransitions // idempotency windows of the classes, and of earlier settings
+	classesFromGroup bool                          // the classes come from the group's document instead of the settings file
 
 	exitMargin time.Duration // the constant exitMargin; tests change it
 	drainDelay time.Duration // the result of the function drainDelay; tests shorten it
@@ -96,8 +98,9 @@
 func openWithRetry(cfg settings.Config, l *log.Logger, hooks Hooks, retryFor time.Duration, shutdown <-chan struct{}) (*Service, error) {
 	s := &Service{
 		cfg: cfg, hooks: hooks, log: l, stats: &metrics.Counters{}, exitMargin: exitMargin, drainDelay: drainDelay(cfg),
-		addressRetryUntil: time.Now().Add(retryFor), shutdown: shutdown,
+		addressRetryUntil: time.Now().Add(retryFor), shutdown: shutdown, openedAt: time.Now(),
 	}
+	s.windows = s.windows.Change(0, classWindows(cfg.Server.Classes))
 	build := s.buildServer
 	if cfg.Edge.Router != nil {
 		build = s.buildRouter
