A map can't shorten patience_ms, which is part of how long former homes are asked

Cause: OverlapWindow is window_ms, patience_ms and twice skew_ms. Map.Follows rejects a shorter window_ms, but accepted a shorter patience_ms, so by the new map a router stopped to ask a former home, and a home that had lost its keys was used again, while a request that had run under the old map could still be read. It is the other direction of a window that grows.

Measured: the new row of the test of maps that follow each other failed before (no error) and passes; the package cells passes. No process was run for this one.

--- a/internal/policy/cells/cells_test.go
+++ b/internal/policy/cells/cells_test.go
@@ -92,6 +92,7 @@
 			m.Servers = append(m.Servers, Server{Name: "n", Addr: "127.0.0.1:1", Cell: "a", Weight: 1, JoinsAt: 0})
 		}, "servers[12].from_ms: not a lease ahead"},
 		"a shorter window":       {func(m *Map) { m.KeyWindow-- }, "window_ms: shorter"},
+		"a shorter patience":     {func(m *Map) { m.CallerTimeout-- }, "patience_ms: shorter"},
 		"a changed lease":        {func(m *Map) { m.Lease-- }, "lease_ms: neither"},
 		"a new tenant":           {func(m *Map) { m.Tenants = append(m.Tenants, Tenant{"new", 1, []Home{{Cell: "c"}}}) }, ""},
 		"a new tenant elsewhere": {func(m *Map) { m.Tenants = append(m.Tenants, Tenant{"new", 1, []Home{{Cell: "a"}}}) }, "tenants[4].homes[0]: a tenant that is named anew"},
--- a/internal/policy/cells/follow.go
+++ b/internal/policy/cells/follow.go
@@ -49,6 +49,8 @@
 		return fmt.Errorf("epoch: %d is under that of the map in force, %d", m.Epoch, old.Epoch)
 	case m.KeyWindow < old.KeyWindow:
 		return errors.New("window_ms: shorter than before")
+	case m.CallerTimeout < old.CallerTimeout: // it is part of OverlapWindow
+		return errors.New("patience_ms: shorter than before")
 	case m.MaxClockSkew != old.MaxClockSkew || m.Lease != old.Lease:
 		return errors.New("lease_ms: neither it nor skew_ms may change under way")
 	}
