Routers apply a longer window of a new map to what they remember

What callers saw: after the map's window_ms had grown, a server of a cell died and came back without its keys, and a retry inside the new window ran there a second time.

Cause: proxy.New set loadbalancer.Config.KeyWindow once, and neither activateMap nor UpdateConfig changed it. detectRestart judged the first contact with a server by that window too, and VersionTracker computed the end of a suspension (two maps of one version, a map that was outdated, a server's report) by the window at its beginning.

Change: activateMap calls Balancer.ExtendKeyWindow. A server whose keys are lost stays so for the longer window, unless its window was over when the old map was last confirmed; a router that starts with an outdated map has no such time. Suspensions keep the time from which they count, and ExtendTerms prolongs those in progress.

--- a/cmd/silverpath/retention_test.go
+++ b/cmd/silverpath/retention_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"silverpath/internal/proxy"
 	"silverpath/internal/testkit/benchmarks"
 )
 
@@ -84,3 +85,32 @@
 	d.checkRanOnce("sheet", first, time.Second)
 	d.checkRanOnce("sheet-after", second, time.Second)
 }
+
+// Guards against a second run at a server that lost its keys, after the map's window has grown: routers kept the window of the map that they
+// had started with.
+func TestMapWindowGrowsBeforeAServerLosesItsKeys(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, shortWindow)
+	name := f.serverNames[0]
+	f.Map.Servers, f.Map.Cells = f.Map.Servers[:1], f.Map.Cells[:1] // the only server of its cell
+	mapFile := f.writeMap(f.Map)
+	one, two := f.startRouter("r1", mapFile, ""), f.startRouter("r2", mapFile, "")
+	if got := sendToAll(10, "sheet", one); got["served"] != 10 {
+		t.Fatalf("outcomes of the first attempts: %v, want 10 served", got)
+	}
+	first, oldOverlap := time.Now(), f.Map.OverlapWindow()
+	f.Map.Version, f.Map.KeyWindow = 2, longWindow
+	if err := proxy.WriteMap(mapFile, f.Map); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := two.Await(5*time.Second, 0, "cells: map version 2"); err != nil {
+		t.Fatal(err)
+	}
+	f.servers[name].Kill()
+	f.servers[name] = startServing(t, "serve", "--config", f.configFiles[name], "--edge", f.edgeFile, "--listen", f.servers[name].addr)
+	restarted := time.Now()
+	time.Sleep(time.Until(restarted.Add(oldOverlap + time.Second)))
+	if got := sendToAll(10, "sheet", two); got["failed"] != 10 || countRunTwice(f.runsByBody()) != 0 {
+		t.Errorf("outcomes after %v: %v, and %d requests ran twice; want 10 failed", time.Since(first), got, countRunTwice(f.runsByBody()))
+	}
+}
--- a/internal/core/rules.go
+++ b/internal/core/rules.go
@@ -21,7 +21,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.observedRules.ExtendTerms(terms)
+	c.observedRules.ExtendTerms(c.clock(), terms)
 	c.observeRules(document, source)
 	c.stats.Set(uint64(c.observedRules.Terms().ConflictBound().Milliseconds()), "rules", "bound_ms")
 	c.stats.Set(uint64(c.observedRules.LongestOutdated().Milliseconds()), "rules", "longest_ms")
--- a/internal/policy/configstore/tracker.go
+++ b/internal/policy/configstore/tracker.go
@@ -68,13 +68,32 @@
 type VersionTracker struct {
 	terms           Terms             // the maximum of each term over all that were given
 	versions        []*trackedVersion // in ascending order
-	suspendedUntil  time.Duration
-	longestOutdated time.Duration // longest time that a document was seen to be outdated or in conflict
+	suspendedUntil  time.Duration     // as other processes reported it
+	suspensions     []suspension      // that this process found reasons for, at most one of each kind
+	longestOutdated time.Duration     // longest time that a document was seen to be outdated or in conflict
+}
+
+// suspension is a time after which exclusive work may have begun under another document than the one in force.
+type suspension struct {
+	from       time.Duration
+	byConflict bool // processes that have not detected the conflict at from yet continue for DetectionBound
+}
+
+// until returns the end of a suspension: the time from which the work that began under the other document can't be repeated any more.
+func (s suspension) until(terms Terms) time.Duration {
+	if s.byConflict {
+		return s.from + terms.DetectionBound() + terms.OverlapWindow
+	}
+	return s.from + terms.OverlapWindow
 }
 
 // ExtendTerms raises each term to the given one if that is longer. It is called with the terms of documents and of other processes. Longer
-// terms are always safe.
-func (t *VersionTracker) ExtendTerms(terms Terms) {
+// terms are always safe. They prolong a suspension in progress, but do not bring back one that has ended.
+func (t *VersionTracker) ExtendTerms(now time.Duration, terms Terms) {
+	t.suspensions = slices.DeleteFunc(t.suspensions, func(s suspension) bool { return s.until(t.terms) <= now })
+	if now < t.suspendedUntil { // the process that reported it may not have the longer window yet
+		t.suspendedUntil += max(0, terms.OverlapWindow-t.terms.OverlapWindow)
+	}
 	t.terms = Terms{max(t.terms.Lease, terms.Lease), max(t.terms.ClockSkew, terms.ClockSkew), max(t.terms.ClockDrift, terms.ClockDrift),
 		max(t.terms.ProbeInterval, terms.ProbeInterval), max(t.terms.ProbeTimeout, terms.ProbeTimeout), max(t.terms.OverlapWindow, terms.OverlapWindow)}
 }
@@ -128,11 +147,26 @@
 	return ConflictFound
 }
 
-// noteConflict suspends exclusive work while work begun under either document may be repeated. Processes that have not detected the
-// conflict yet continue for DetectionBound at most.
+// noteConflict suspends exclusive work while work begun under either document may be repeated.
 func (t *VersionTracker) noteConflict(now time.Duration, v *trackedVersion) {
 	v.conflictAt = now
-	t.Suspend(now, t.terms.DetectionBound()+t.terms.OverlapWindow)
+	t.addSuspension(suspension{from: now, byConflict: true})
+}
+
+// SuspendAfter suspends exclusive work while work that began until lastBegun, under a document that is no longer in force, may be repeated.
+func (t *VersionTracker) SuspendAfter(lastBegun time.Duration) {
+	t.addSuspension(suspension{from: lastBegun})
+}
+
+// addSuspension adds a suspension, unless a later one of its kind is in progress.
+func (t *VersionTracker) addSuspension(added suspension) {
+	for i, s := range t.suspensions {
+		if s.byConflict == added.byConflict {
+			t.suspensions[i].from = max(s.from, added.from)
+			return
+		}
+	}
+	t.suspensions = append(t.suspensions, added)
 }
 
 // Suspend stops exclusive work from beginning for d. It is called when another process has found two documents that differ.
@@ -142,7 +176,11 @@
 
 // SuspendedFor returns how much longer no exclusive work begins.
 func (t *VersionTracker) SuspendedFor(now time.Duration) time.Duration {
-	return max(0, t.suspendedUntil-now)
+	until := t.suspendedUntil
+	for _, s := range t.suspensions {
+		until = max(until, s.until(t.terms))
+	}
+	return max(0, until-now)
 }
 
 // Newest returns the first sighting of the newest document, and false if there is none.
@@ -174,7 +212,7 @@
 		t.longestOutdated = max(t.longestOutdated, now-t.versions[count-1].conflictAt)
 		return VerdictConflicting
 	}
-	if now < t.suspendedUntil {
+	if t.SuspendedFor(now) > 0 {
 		return VerdictSettling
 	}
 	for _, v := range t.versions {
--- a/internal/policy/configstore/tracker_test.go
+++ b/internal/policy/configstore/tracker_test.go
@@ -44,8 +44,8 @@
 		}
 		var observed []observation
 		var tracker VersionTracker
-		tracker.ExtendTerms(testTerms)
 		now := time.Duration(0)
+		tracker.ExtendTerms(now, testTerms)
 		for range rapid.IntRange(1, 25).Draw(t, "observations") {
 			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
 			id := ID{rapid.IntRange(1, 4).Draw(t, "version"), uint64(rapid.SampledFrom([]int{1, 1, 1, 1, 1, 2}).Draw(t, "digest"))}
@@ -93,6 +93,36 @@
 	})
 }
 
+// Guards against work that runs twice after a conflict or an outdated map, if the overlap window grows meanwhile: a suspension in progress
+// lasts for the longer window. One that has ended does not come back.
+func TestSuspensionsFollowALongerWindow(t *testing.T) {
+	longer := testTerms
+	longer.OverlapWindow += 10 * time.Second
+	const start = time.Hour
+	for name, c := range map[string]struct {
+		suspend func(tracker *VersionTracker)
+		until   time.Duration // by testTerms
+	}{
+		"conflict": {func(tracker *VersionTracker) { tracker.ObserveConflict(start, 1, "a and b") }, start + testTerms.DetectionBound() + testTerms.OverlapWindow},
+		"outdated": {func(tracker *VersionTracker) { tracker.SuspendAfter(start) }, start + testTerms.OverlapWindow},
+		"reported": {func(tracker *VersionTracker) { tracker.Suspend(start, time.Second) }, start + time.Second},
+	} {
+		for _, ended := range []bool{false, true} {
+			var tracker VersionTracker
+			tracker.ExtendTerms(start, testTerms)
+			c.suspend(&tracker)
+			extendedAt, want := c.until-1, c.until+10*time.Second
+			if ended {
+				extendedAt, want = c.until, c.until
+			}
+			tracker.ExtendTerms(extendedAt, longer)
+			if got := extendedAt + tracker.SuspendedFor(extendedAt); got != want {
+				t.Errorf("%s, window extended at %v: suspended until %v, want %v", name, extendedAt, got, want)
+			}
+		}
+	}
+}
+
 // The number and size of stored observations are limited, and the newest versions are kept.
 func TestVersionTrackerIsBounded(t *testing.T) {
 	var tracker VersionTracker
--- a/internal/policy/loadbalancer/homes.go
+++ b/internal/policy/loadbalancer/homes.go
@@ -38,30 +38,49 @@
 	return s.lostKeys && now-s.lostKeysAt < b.cfg.KeyWindow
 }
 
+// ExtendKeyWindow applies the key window of a new cell map if it is longer. Clients may repeat a request that ran under the shorter window
+// for the longer one, so a server whose keys are lost stays lost for it. This does not apply to a server whose window was over at
+// confirmedAt, the last time at which the shorter window is known to have been the current one: its requests are not repeated any more.
+func (b *Balancer) ExtendKeyWindow(confirmedAt, window time.Duration) {
+	if window <= b.cfg.KeyWindow {
+		return
+	}
+	for _, s := range b.servers {
+		s.lostKeys = b.hasLostKeys(confirmedAt, s)
+	}
+	b.cfg.KeyWindow = window
+}
+
 // detectRestart compares the process that answered with the previous one. After a restart it marks the keys as lost and resets the
 // attempt statistics.
 func (b *Balancer) detectRestart(now time.Duration, s *server, in Incarnation) {
 	wasDead, bootKnown := s.health == Dead, s.boot != 0
 	s.hasAnswered = true
 	restarted := in.Boot != 0 && bootKnown && in.Boot != s.boot || in.Boot == 0 && wasDead
-	// A server that started within the key window, but after it was added to the map, had an earlier process, whose keys are lost. A
-	// router that has just started detects the restart by this, although it never saw the earlier process.
+	// A server that started after it was added to the map had an earlier process, whose keys are lost. A router that has just started
+	// detects the restart by this, although it never saw the earlier process.
 	ranUntil := in.Boot
 	if in.RanUntil != 0 {
 		ranUntil = min(in.RanUntil, in.Boot)
 	}
-	missedRestart := in.Boot != 0 && !bootKnown && in.Boot > in.Joined && in.Now-ranUntil < b.cfg.KeyWindow.Milliseconds()
+	mayHaveMissedRestart := in.Boot != 0 && !bootKnown && in.Boot > in.Joined
 	if in.Boot != 0 {
 		s.boot = in.Boot
 	}
-	if !restarted && !missedRestart {
+	if !restarted && !mayHaveMissedRestart {
 		return
 	}
-	b.counts.LostKeyRestarts++
-	s.lostKeys, s.lostKeysAt, s.upSince = true, now, now
+	s.lostKeys, s.lostKeysAt = true, now
 	if in.Boot != 0 { // the start of the new process is known, and the earlier one ran nothing after it
-		s.warmup.Restarted()
 		s.lostKeysAt = now - time.Duration(max(0, in.Now-ranUntil))*time.Millisecond
 	}
+	if !restarted && !b.hasLostKeys(now, s) {
+		return // the window is over, unless the map of a router that has just started is outdated: ExtendKeyWindow
+	}
+	b.counts.LostKeyRestarts++
+	s.upSince = now
+	if in.Boot != 0 {
+		s.warmup.Restarted()
+	}
 	s.resetAttempts()
 }
--- a/internal/policy/loadbalancer/loadbalancer.go
+++ b/internal/policy/loadbalancer/loadbalancer.go
@@ -105,7 +105,7 @@
 	// Incarnations: homes.go.
 	boot        int64         // start of the process in Unix milliseconds, as it reports it; 0 if unknown
 	lostKeysAt  time.Duration // latest time at which the previous process may have run requests with a key
-	lostKeys    bool          // the previous process may have run such requests, and its record of them is lost
+	lostKeys    bool          // the previous process may have run such requests, and its record of them is lost; cleared if the window is over
 	hasAnswered bool          // the server has answered this router; before that, a restart cannot be ruled out
 
 	warmup slowstart.Caller
@@ -121,7 +121,7 @@
 }
 
 // UpdateConfig applies new ratios and bounds after a change of the routing document. It keeps the state of the servers, the spent budgets, and
-// the values of KeyWindow, Seed and MaxInFlight that New was given.
+// the values of Seed and MaxInFlight that New was given and the key window.
 func (b *Balancer) UpdateConfig(c Config) {
 	c.KeyWindow, c.Seed, c.MaxInFlight = b.cfg.KeyWindow, b.cfg.Seed, b.cfg.MaxInFlight
 	b.cfg = c.withDefaults()
--- a/internal/policy/loadbalancer/loadbalancer_test.go
+++ b/internal/policy/loadbalancer/loadbalancer_test.go
@@ -401,3 +401,33 @@
 		})
 	}
 }
+
+// Guards against a second run at a server that restarted without its keys while the key window grows: its requests fail for the longer
+// window. A window that was over while it was the current one does not come back; a router that has just started and still has an outdated
+// map does not know that it was.
+func TestLostKeysFollowALongerWindow(t *testing.T) {
+	const window, longer, restarted = 10 * time.Second, 30 * time.Second, time.Hour
+	for name, c := range map[string]struct {
+		confirmedAt, checkedAt time.Duration // after the restart
+		lost                   bool
+	}{
+		"in the window":               {5 * time.Second, 29 * time.Second, true},
+		"after the longer window":     {5 * time.Second, 30 * time.Second, false},
+		"the shorter window was over": {10 * time.Second, 15 * time.Second, false},
+		"the map was outdated":        {-time.Minute, 15 * time.Second, true},
+	} {
+		for _, known := range []bool{true, false} { // the router saw the earlier process
+			balancer := New(Config{KeyWindow: window})
+			balancer.SetServers(restarted, map[string]float64{"s": 1})
+			if known {
+				balancer.Answered(restarted, "s", Incarnation{Boot: 1, Joined: 1, Now: 100000})
+				balancer.Answered(restarted, "s", Incarnation{Boot: 100000, Joined: 1, Now: 100000})
+			}
+			balancer.Answered(restarted+12*time.Second, "s", Incarnation{Boot: 100000, Joined: 1, Now: 112000})
+			balancer.ExtendKeyWindow(restarted+c.confirmedAt, longer)
+			if got := balancer.CheckHome(restarted+c.checkedAt, "", "s"); (got == HomeLost) != c.lost {
+				t.Errorf("%s, earlier process seen: %v: home state %v, want HomeLost: %v", name, known, got, c.lost)
+			}
+		}
+	}
+}
--- a/internal/proxy/maps.go
+++ b/internal/proxy/maps.go
@@ -37,8 +37,11 @@
 		v.id = r.identify(m)
 		v.name = v.id.String()
 	}
+	if before != nil {
+		r.balancer.ExtendKeyWindow(r.clockAt(before.confirmedAt), m.OverlapWindow())
+	}
 	r.current.Store(v)
-	r.versions.ExtendTerms(r.conflictTerms(m))
+	r.versions.ExtendTerms(r.clock(), r.conflictTerms(m))
 	r.observeVersion(r.clock(), v.id, r.cfg.Name)
 }
 
@@ -162,7 +165,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if lastSent := time.Duration(r.lastKeyedSent.Load()); lastSent > 0 {
-		now := r.clock()
-		r.versions.Suspend(now, lastSent+r.conflictTerms(m).OverlapWindow-now)
+		r.versions.ExtendTerms(r.clock(), r.conflictTerms(m))
+		r.versions.SuspendAfter(lastSent)
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -113,7 +113,10 @@
 }
 
 // clock returns the time since an hour before the start, by the monotonic clock, so that 0 is always long ago.
-func (r *Runner) clock() time.Duration { return time.Since(r.startedAt) + time.Hour }
+func (r *Runner) clock() time.Duration { return r.clockAt(time.Now()) }
+
+// clockAt returns a time by the clock. A time long before the start is negative.
+func (r *Runner) clockAt(t time.Time) time.Duration { return t.Sub(r.startedAt) + time.Hour }
 
 // Forward forwards a request in a new goroutine and reports its result to Events. It does not block.
 func (r *Runner) Forward(req core.Request) {
