A store follows changed windows, at reloads and restarts and in both directions

What callers saw: a retry inside its window ran a second time at a server with a store, after a restart with a longer or a shorter memory_span, and after a reload that lengthened it followed by a restart. A key that may have run before the store was created ran after a restart with a shorter one.

Cause: a record expired by the time that was computed when it was written, at its load and in the ledger; restored runs were judged by the class's present window; the time in which unknown keys fail followed the settings of the present process only. Which terms a file was in use with was not stored.

Change: the terms of the classes are stored beside the header, under a key of their own that earlier builds ignore. Record.Extend applies ClassTerms.OfRecord at the load, and extended records are written at once. A reload extends the ledger's entries and has the file rewritten. The time for unknown keys keeps the longest terms until it is over.

--- a/cmd/silverpath/retention_test.go
+++ b/cmd/silverpath/retention_test.go
@@ -114,3 +114,70 @@
 		t.Errorf("outcomes after %v: %v, and %d requests ran twice; want 10 failed", time.Since(first), got, countRunTwice(f.runsByBody()))
 	}
 }
+
+// restart kills a process and starts the next one with another window, ready and with its store loaded.
+func (d *durableService) restart(g *benchmarks.Generation, window time.Duration) *benchmarks.Generation {
+	d.t.Helper()
+	g.Kill()
+	d.span = window
+	return d.startLoaded()
+}
+
+// Guards against a second run after a restart with a longer window: a stored run expired by the window that it had run under.
+func TestRestartWithALongerWindow(t *testing.T) {
+	t.Parallel()
+	d := newDurableService(t)
+	d.span = shortWindow
+	g := d.startLoaded()
+	first := d.serveOnce("sheet")
+	g = d.restart(g, longWindow)
+	time.Sleep(time.Until(first.Add(forgotten)))
+	d.restart(g, longWindow)
+	d.checkRanOnce("sheet", first, forgotten)
+}
+
+// Guards against a second run after restarts with a shorter window: a stored run was judged by the new window. The second restart must
+// not lose what the first one has kept.
+func TestRestartWithAShorterWindow(t *testing.T) {
+	t.Parallel()
+	d := newDurableService(t)
+	d.span = longWindow
+	g := d.startLoaded()
+	first := d.serveOnce("sheet")
+	g = d.restart(g, shortWindow)
+	d.checkRanOnce("sheet", first, time.Second)
+	d.restart(g, shortWindow)
+	d.checkRanOnce("sheet", first, forgotten)
+}
+
+// Guards against a second run after a reload that lengthens the window and a restart that shortens it again: the store had the run with the
+// window before the reload only.
+func TestRestartAfterAReloadThatLengthensTheWindow(t *testing.T) {
+	t.Parallel()
+	d := newDurableService(t)
+	d.span = shortWindow
+	g := d.startLoaded()
+	first := d.serveOnce("sheet")
+	reloadWindow(t, g, longWindow)
+	d.checkRanOnce("sheet", first, forgotten-time.Second) // the store would have removed its record by now
+	d.restart(g, shortWindow)
+	d.checkRanOnce("sheet", first, forgotten)
+}
+
+// Guards against a run of an unknown key that may have run before the store was created: a restart with a shorter window ended the time in
+// which such keys fail.
+func TestUnknownRunsKeepTheLongerWindow(t *testing.T) {
+	t.Parallel()
+	d := newDurableService(t)
+	if err := os.RemoveAll(d.dir); err != nil {
+		t.Fatal(err)
+	}
+	d.span = longWindow
+	started := time.Now()
+	g := d.restart(d.startLoaded(), shortWindow)
+	d.restart(g, shortWindow)
+	time.Sleep(time.Until(started.Add(forgotten)))
+	if a := d.sendAttempt("sheet", "sheet"); a.Outcome != "failed" || d.Runs()["sheet"] != 0 {
+		t.Errorf("a key that may have run under the longer window: %s, %d runs; want failed and none", a.Outcome, d.Runs()["sheet"])
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,9 +49,6 @@
 	// windowSlack extends every idempotency window. The time limits on sockets are extended by as much, so an attempt may arrive
 	// that much later than its sender intended.
 	windowSlack = 50 * time.Millisecond
-	// readDelay is how long after its arrival an attempt may still be read. A key is kept that long after the last moment at which
-	// an attempt with it can arrive.
-	readDelay = 2 * time.Second
 	// requestKB is the memory of a request in progress, in kilobytes: body, record and goroutine.
 	requestKB = 24
 	// entryBytes is the memory of a key table entry without its result.
--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -195,7 +195,7 @@
 
 // addExecution adds the execution of the first attempt of a key.
 func (e *keyEntry) addExecution(t *task, fingerprint uint64) {
-	e.expiresAt = maxTime(e.expiresAt, t.Deadline.Add(readDelay))
+	e.expiresAt = maxTime(e.expiresAt, t.Deadline.Add(idempotency.ReadDelay))
 	t.execution = &execution{requestID: t.ID, fingerprint: fingerprint, entry: e, receivedAt: t.ReceivedAt}
 	if !e.isRead {
 		e.queued = t.execution
--- a/internal/core/peerclaim.go
+++ b/internal/core/peerclaim.go
@@ -24,7 +24,7 @@
 	claim := hotrestart.Execution{
 		Key: key, ID: r.ID, Fingerprint: c.keys.fingerprint(&task{Request: *r}),
 		ReceivedAt: r.ReceivedAt.UnixNano(), Window: class.IdempotencyWindow,
-		ExpiresAt: r.ReceivedAt.Add(class.IdempotencyWindow + class.Deadline + readDelay).UnixNano(),
+		ExpiresAt: r.ReceivedAt.Add(termsOf(class).Retention()).UnixNano(),
 	}
 	p.coordinator.BeginClaim(key)
 	verdict := p.coordinator.CheckClaim(claim)
--- a/internal/core/persistence.go
+++ b/internal/core/persistence.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"time"
 
 	"silverpath"
@@ -25,6 +26,10 @@
 	LogResult(r *idempotency.Record, receivedAt, expiresAt time.Time, done func(error))
 	NoteFailed(seq uint64) // the run has ended without a result
 	Withdraw(seq uint64)   // the run never started
+	// Extend keeps a record until a later time than it was written with.
+	Extend(seq uint64, expiresAt time.Time)
+	// TermsChanged is called after the terms of the classes have changed, and Extend for each record that they prolong.
+	TermsChanged()
 }
 
 // UseStore enables persistence of runs. It is called before the first request.
@@ -204,24 +209,29 @@
 // LongestWindow returns how long after a run a further attempt may be read, over all idempotent classes: the window in which the
 // attempt reaches the machine, its deadline, and the delay of reading.
 func (c *Core) LongestWindow() (longest time.Duration) {
-	for _, terms := range classTerms(c.settings.Load().Classes) {
-		longest = max(longest, retentionOf(terms)+windowSlack)
+	for _, terms := range c.Terms() {
+		longest = max(longest, terms.Retention()+windowSlack)
 	}
 	return longest
 }
 
-// Restore adds the runs of an earlier start of this service to the key table. The records must be in the order of their intents.
-func (c *Core) Restore(list []idempotency.Record, timeAt func(time.Duration) time.Time) {
+// Restore adds the runs of an earlier start of this service to the key table. The records must be in the order of their intents, and
+// retained by the given terms.
+func (c *Core) Restore(list []idempotency.Record, terms idempotency.ClassTerms, timeAt func(time.Duration) time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	for i := range list {
-		c.keys.restore(&list[i], timeAt, now)
+		e := c.keys.restore(&list[i], timeAt, now)
+		if !maps.Equal(terms, c.keys.terms) { // the classes have changed since the store read them
+			c.keys.extend(e)
+			c.extendRecords(e)
+		}
 	}
 }
 
-// restore adds one record to the table.
-func (k *keyTable) restore(r *idempotency.Record, timeAt func(time.Duration) time.Time, now time.Time) {
+// restore adds one record to the table and returns the entry of its key.
+func (k *keyTable) restore(r *idempotency.Record, timeAt func(time.Duration) time.Time, now time.Time) *keyEntry {
 	e := k.entries[r.Key]
 	if e == nil {
 		e = k.add(r.Key)
@@ -229,15 +239,14 @@
 	e.expiresAt, e.terms.Window = maxTime(e.expiresAt, timeAt(r.ExpiresAt)), max(e.terms.Window, r.Window)
 	if r.State == idempotency.Moved {
 		e.movedAt, e.movedUntil, e.movedRecord = timeAt(r.RecordedAt), maxTime(e.movedUntil, timeAt(r.ExpiresAt)), r.Seq
-		k.extend(e)
-		return
+		return e
 	}
 	k.dropResult(e)
 	e.latest = &execution{requestID: r.ID, fingerprint: r.Fingerprint, entry: e, receivedAt: timeAt(r.ReceivedAt), done: true, succeeded: r.State == idempotency.Completed,
 		result: r.Result, endedAt: now, recordSeq: r.Seq}
-	k.extend(e)
 	e.bytes += len(r.Result)
 	k.bytes += len(r.Result)
+	return e
 }
 
 // Records returns the current records of all persisted runs.
--- a/internal/core/retention.go
+++ b/internal/core/retention.go
@@ -1,7 +1,7 @@
 package core
 
 import (
-	"time"
+	"maps"
 
 	"silverpath"
 	"silverpath/internal/policy/idempotency"
@@ -26,12 +26,6 @@
 	return idempotency.Terms{Window: class.IdempotencyWindow, Deadline: class.Deadline}
 }
 
-// retentionOf returns how long after the arrival of a run a further attempt of its request may still be read: the last attempt within the
-// window is past its deadline then, even if it is read late.
-func retentionOf(terms idempotency.Terms) time.Duration {
-	return terms.Window + terms.Deadline + readDelay
-}
-
 // noteClass records the class of an attempt of the key.
 func (e *keyEntry) noteClass(class silverpath.Class) {
 	if e.class != class.Name {
@@ -42,7 +36,7 @@
 
 // retain keeps the entry for as long as its latest run may be repeated, and while the key runs elsewhere.
 func (e *keyEntry) retain() {
-	retention := retentionOf(e.terms)
+	retention := e.terms.Retention()
 	if !e.movedAt.IsZero() {
 		e.movedUntil = maxTime(e.movedUntil, e.movedAt.Add(retention))
 		e.expiresAt = maxTime(e.expiresAt, e.movedUntil)
@@ -59,12 +53,44 @@
 	e.retain()
 }
 
-// setTerms sets the terms of the classes in force and applies them to the keys of all idempotent requests.
-func (k *keyTable) setTerms(terms idempotency.ClassTerms) {
+// setTerms sets the terms of the classes in force and applies them to the keys of all idempotent requests. It returns false if the terms
+// have not changed.
+func (k *keyTable) setTerms(terms idempotency.ClassTerms) bool {
+	if maps.Equal(k.terms, terms) {
+		return false
+	}
 	k.terms = terms
 	for _, e := range k.entries {
 		if !e.isRead {
 			k.extend(e)
 		}
 	}
+	return true
+}
+
+// applyTerms applies the terms of the current classes to the keys and to their stored records. It is called under the lock.
+func (c *Core) applyTerms() {
+	if !c.keys.setTerms(c.Terms()) || c.store == nil {
+		return
+	}
+	for _, e := range c.keys.entries {
+		c.extendRecords(e)
+	}
+	c.store.TermsChanged()
 }
+
+// extendRecords keeps the stored records of a key for as long as the key is retained. It is called under the lock.
+func (c *Core) extendRecords(e *keyEntry) {
+	if c.store == nil {
+		return
+	}
+	if e.latest != nil && e.latest.recordSeq != 0 {
+		c.store.Extend(e.latest.recordSeq, e.expiresAt)
+	}
+	if e.movedRecord != 0 {
+		c.store.Extend(e.movedRecord, e.movedUntil)
+	}
+}
+
+// Terms returns the terms of the idempotent classes in force.
+func (c *Core) Terms() idempotency.ClassTerms { return classTerms(c.settings.Load().Classes) }
--- a/internal/core/settings.go
+++ b/internal/core/settings.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	c.settings.Store(&settings)
-	c.keys.setTerms(classTerms(settings.Classes))
+	c.applyTerms()
 	if c.pools != nil {
 		c.setGates(settings)
 	}
--- a/internal/policy/idempotency/ledger.go
+++ b/internal/policy/idempotency/ledger.go
@@ -228,6 +228,21 @@
 	return true
 }
 
+// Extend keeps a record until a later time than it was added with. An earlier time, or an unknown record, changes nothing.
+func (l *Ledger) Extend(seq uint64, expiresAt time.Duration) {
+	if e := l.entries[seq]; e != nil && expiresAt > e.expiresAt {
+		e.expiresAt = expiresAt
+		heap.Fix(&l.byExpiry, e.heapIndex)
+	}
+}
+
+// ExtendIncomplete prolongs the time until which runs are missing that may be repeated. It changes nothing once that time is over.
+func (l *Ledger) ExtendIncomplete(until time.Duration) {
+	if !l.complete {
+		l.incompleteUntil = max(l.incompleteUntil, until)
+	}
+}
+
 // Expire removes up to limit expired records that have no run in progress, and returns their sequence numbers.
 func (l *Ledger) Expire(now time.Duration, limit int) (expired []uint64) {
 	var executing []*entry
--- a/internal/policy/idempotency/retention.go
+++ b/internal/policy/idempotency/retention.go
@@ -8,6 +8,14 @@
 	Deadline time.Duration // longest time between an attempt's arrival and its answer
 }
 
+// ReadDelay is how long after its arrival an attempt may still be read, beside the time that its caller waits. Keys are kept that long
+// after the last moment at which an attempt with them can arrive.
+const ReadDelay = 2 * time.Second
+
+// Retention returns how long after the arrival of a run a further attempt of its request may still be read: the last attempt within the
+// window is past its deadline then, even if it is read late.
+func (t Terms) Retention() time.Duration { return t.Window + t.Deadline + ReadDelay }
+
 // Max returns the longer of each of two terms.
 func (t Terms) Max(other Terms) Terms {
 	return Terms{max(t.Window, other.Window), max(t.Deadline, other.Deadline)}
@@ -35,3 +43,30 @@
 	}
 	return c.Longest()
 }
+
+// OfRecord returns the terms of a stored run, whose class is not stored: those of all classes that had its window when the store was last
+// in use, by the classes of that time. If none had it, it returns the longest terms, as the run may be of any class.
+func (c ClassTerms) OfRecord(window time.Duration, lastInUse ClassTerms) Terms {
+	terms, found := Terms{}, false
+	for class, old := range lastInUse {
+		if old.Window == window {
+			terms, found = terms.Max(old).Max(c.Of(class)), true
+		}
+	}
+	if !found {
+		return lastInUse.Longest().Max(c.Longest())
+	}
+	return terms
+}
+
+// Extend returns the record with the given terms applied to it, and whether that changes it. Shorter terms change nothing.
+func (r Record) Extend(terms Terms) (Record, bool) {
+	ranAt := r.ReceivedAt
+	if r.State == Moved { // a router may have it run elsewhere from then on
+		ranAt = r.RecordedAt
+	}
+	window, expiresAt := max(r.Window, terms.Window), max(r.ExpiresAt, ranAt+terms.Retention())
+	extended := window != r.Window || expiresAt != r.ExpiresAt
+	r.Window, r.ExpiresAt = window, expiresAt
+	return r, extended
+}
--- a/internal/storage/idempotencystore/file.go
+++ b/internal/storage/idempotencystore/file.go
@@ -38,6 +38,7 @@
 	bucketKeys       = []byte("keys")
 	bucketQuarantine = []byte("broken") // quarantine: the bytes of records that can't be decoded
 	headerKey        = []byte("meta")
+	termsKey         = []byte("terms") // in bucketMeta; earlier builds neither read nor write it
 )
 
 // header is the metadata of a file, stored as JSON.
@@ -51,6 +52,8 @@
 	Complete          bool   `json:"whole"`
 	CompleteSinceWall int64  `json:"wall_ms"`
 	ClosedCleanly     bool   `json:"clean"` // closed cleanly, and not opened since
+
+	terms fileTerms // stored under termsKey
 }
 
 // newHeader returns the header of a file that knows every run from now on. Wall is the current time in Unix milliseconds.
@@ -151,6 +154,7 @@
 		if f.header.Format != formatVersion {
 			return fmt.Errorf("%s: format %d, this build knows %d", f.path, f.header.Format, formatVersion)
 		}
+		f.header.terms = decodeTerms(meta.Get(termsKey))
 		return nil
 	})
 }
@@ -213,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	return tx.Bucket(bucketMeta).Put(headerKey, text)
+	return errors.Join(tx.Bucket(bucketMeta).Put(headerKey, text), tx.Bucket(bucketMeta).Put(termsKey, h.terms.encode()))
 }
 
 // maxUnreadable is the number of records that newestTime tries to decode before it treats the file as empty.
--- a/internal/storage/idempotencystore/load.go
+++ b/internal/storage/idempotencystore/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"time"
 
@@ -71,6 +72,8 @@
 		s.queue = append(s.queue, change{seq: seq, remove: true})
 	}
 	records := s.ledger.Snapshot(Now().SinceBoot).Records
+	s.termsChanged = s.termsChanged || !maps.Equal(s.file.header.terms.classes, s.owner.Terms())
+	s.wakeWriter()
 	s.mu.Unlock()
 	took := time.Since(startedAt)
 	s.stats.Set(uint64(took.Milliseconds()), "store", "load_ms")
@@ -105,31 +108,47 @@
 	report.unreadable = append(report.unreadable, unreadable...)
 	relevant := records[:0]
 	s.mu.Lock()
+	lastInUse, current := s.file.header.terms.classes, s.owner.Terms()
+	var changes []change
 	for _, stored := range records {
+		stored, extended := stored.Extend(current.OfRecord(stored.Window, lastInUse))
 		record, isRelevant := stored.Recover(report.timeShift, report.now.SinceBoot)
 		if !isRelevant {
 			report.expired = append(report.expired, record.Seq)
 			continue
 		}
+		if extended && report.timeShift == 0 { // times of another boot are rewritten after the load
+			changes = append(changes, change{seq: stored.Seq, value: encodeRecord(&stored)})
+		}
 		s.ledger.Load(&record)
 		relevant = append(relevant, record)
 	}
 	s.mu.Unlock()
-	s.owner.Restore(relevant, wallTimeConverter(Now().SinceBoot))
+	if len(changes) > 0 {
+		if err := s.file.commit(changes, nil); err != nil {
+			s.writeFailed(err)
+		}
+	}
+	s.owner.Restore(relevant, current, wallTimeConverter(Now().SinceBoot))
 }
 
 // updateCoverage updates the header's coverage, and returns until when runs may be relevant that the store does not know. An
 // unreadable record may have had any key, so after damage the store is complete only from now on.
 func (s *Store) updateCoverage(report *loadReport) (incompleteUntil time.Duration) {
 	h := s.file.header
+	unknownRetention := s.longestRetention()
+	if !h.Complete {
+		unknownRetention = max(unknownRetention, h.terms.unknownRetention)
+	}
+	h.terms.unknownRetention = unknownRetention
 	if !h.Complete {
-		incompleteUntil = time.Duration(h.CompleteSince) + report.timeShift + s.owner.LongestWindow()
+		incompleteUntil = time.Duration(h.CompleteSince) + report.timeShift + h.terms.unknownRetention
 	}
 	if damage := report.damage(); damage != "" {
 		s.stats.Inc("store", "damaged")
 		events.Log(s.log, "store.damaged", damage)
 		h.Complete, h.CompleteSince, h.CompleteSinceWall = false, int64(report.now.SinceBoot), time.Now().UnixMilli()
-		incompleteUntil = report.now.SinceBoot + s.owner.LongestWindow()
+		incompleteUntil = report.now.SinceBoot + h.terms.unknownRetention
 	} else if report.timeShift != 0 {
 		h.CompleteSince += int64(report.timeShift)
 	}
--- a/internal/storage/idempotencystore/offline.go
+++ b/internal/storage/idempotencystore/offline.go
@@ -204,7 +204,7 @@
 		now := Now()
 		shift := f.header.coverage().TimeShift(newest, now)
 		h := newHeader(name, now, time.Now().UnixMilli())
-		h.Complete, h.ClosedCleanly = complete, true
+		h.Complete, h.ClosedCleanly, h.terms = complete, true, f.header.terms
 		next, err := f.rewrite(path, h, func(r idempotency.Record) (idempotency.Record, bool) {
 			r, keep := r.Recover(shift, now.SinceBoot)
 			if keep {
--- a/internal/storage/idempotencystore/store.go
+++ b/internal/storage/idempotencystore/store.go
@@ -25,14 +25,16 @@
 
 // RecordOwner uses the stored records. It is implemented by the core.
 type RecordOwner interface {
-	// Restore is called with records that were loaded, in the order of their intents. At converts a time since boot to the
-	// owner's clock.
-	Restore(list []idempotency.Record, at func(time.Duration) time.Time)
+	// Restore is called with records that were loaded, in the order of their intents, and with the result of Terms by which they are
+	// retained. At converts a time since boot to the owner's clock.
+	Restore(list []idempotency.Record, terms idempotency.ClassTerms, at func(time.Duration) time.Time)
 	// Records returns the current state of all records. The writer calls it when it rewrites the file. At converts a time of
 	// the owner's clock to a time since boot.
 	Records(at func(time.Time) time.Duration) []idempotency.Record
 	// LongestWindow returns the longest time after a run in which another attempt may arrive, over all classes.
 	LongestWindow() time.Duration
+	// Terms returns the terms of the classes in force.
+	Terms() idempotency.ClassTerms
 }
 
 // Config configures a store.
@@ -63,6 +65,8 @@
 	queue         []change
 	completeSince int64 // Unix milliseconds; the header's CompleteSinceWall
 	closed        bool
+	termsChanged  bool // the terms of the classes have changed since they were written
+	extended      bool // records have been extended since they were written
 
 	// After Open, these fields are used by Run's goroutine only.
 	file         *file
@@ -201,6 +205,22 @@
 	}
 }
 
+// Extend keeps a record until a later time than it was written with. The file has the new time after the next TermsChanged.
+func (s *Store) Extend(seq uint64, expiresAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Extend(seq, sinceBoot(expiresAt))
+	s.extended = true
+}
+
+// TermsChanged makes the writer store the terms of the classes, and the records with the times that Extend has set.
+func (s *Store) TermsChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.termsChanged = true
+	s.wakeWriter()
+}
+
 // enqueue queues a change and wakes the writer. The caller holds s.mu.
 func (s *Store) enqueue(c change) {
 	s.queue = append(s.queue, c)
--- a/internal/storage/idempotencystore/store_test.go
+++ b/internal/storage/idempotencystore/store_test.go
@@ -196,9 +196,10 @@
 	mu      sync.Mutex
 	records map[string]idempotency.Record
 	window  time.Duration
+	terms   idempotency.ClassTerms
 }
 
-func (o *memoryOwner) Restore(list []idempotency.Record, _ func(time.Duration) time.Time) {
+func (o *memoryOwner) Restore(list []idempotency.Record, _ idempotency.ClassTerms, _ func(time.Duration) time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, r := range list {
@@ -217,6 +218,8 @@
 
 func (o *memoryOwner) LongestWindow() time.Duration { return o.window }
 
+func (o *memoryOwner) Terms() idempotency.ClassTerms { return o.terms }
+
 func openStore(t *testing.T, dir string) (*Store, *memoryOwner) {
 	t.Helper()
 	owner := &memoryOwner{records: map[string]idempotency.Record{}, window: 300 * time.Millisecond}
--- a/internal/storage/idempotencystore/writer.go
+++ b/internal/storage/idempotencystore/writer.go
@@ -38,6 +38,7 @@
 		if wait > 0 {
 			time.Sleep(wait)
 		}
+		s.storeTerms()
 		s.commitBatch(&lastRewrite)
 		s.mu.Lock()
 		finished := s.closed && len(s.queue) == 0
@@ -92,14 +93,9 @@
 	s.commitTiming.Record(took)
 	s.mu.Lock()
 	s.ledger.CommitFinished(Now().SinceBoot, took)
-	firstFailure := err != nil && s.ledger.WriteFailed()
 	s.mu.Unlock()
 	if err != nil {
-		s.needsRewrite = true
-		s.stats.Inc("store", "failures")
-		if firstFailure {
-			events.Log(s.log, "store.failed", err)
-		}
+		s.writeFailed(err)
 		return err
 	}
 	s.stats.Inc("store", "commits")
@@ -110,6 +106,18 @@
 	return nil
 }
 
+// writeFailed records a failed write. The file is rewritten before the next commit.
+func (s *Store) writeFailed(err error) {
+	s.needsRewrite = true
+	s.stats.Inc("store", "failures")
+	s.mu.Lock()
+	firstFailure := s.ledger.WriteFailed()
+	s.mu.Unlock()
+	if firstFailure {
+		events.Log(s.log, "store.failed", err)
+	}
+}
+
 // headerToWrite returns the header to write with the next batch, nil if the header has not changed. The caller holds s.mu.
 func (s *Store) headerToWrite() *header {
 	if !s.ledger.BecameComplete(Now().SinceBoot) {
@@ -153,19 +161,27 @@
 	return true
 }
 
-// compactIfSparse rewrites the file if most of it is unused. A failure is handled like that of any other write.
+// compactIfSparse rewrites the file if most of it is unused.
 func (s *Store) compactIfSparse() {
 	s.mu.Lock()
 	sparse := s.ledger.ShouldCompact(s.file.size())
 	s.mu.Unlock()
-	if sparse && !s.rewrite() {
-		s.needsRewrite = true
-		s.mu.Lock()
-		s.ledger.WriteFailed()
-		s.mu.Unlock()
+	if sparse {
+		s.rewriteOrFail()
 	}
 }
 
+// rewriteOrFail rewrites the file. A failure is handled like that of any other write.
+func (s *Store) rewriteOrFail() {
+	if s.rewrite() {
+		return
+	}
+	s.needsRewrite = true
+	s.mu.Lock()
+	s.ledger.WriteFailed()
+	s.mu.Unlock()
+}
+
 // expire queues the removal of expired records and updates the size metrics.
 func (s *Store) expire() {
 	s.mu.Lock()
--- a/internal/testkit/benchmarks/durable.go
+++ b/internal/testkit/benchmarks/durable.go
@@ -211,9 +211,11 @@
 // emptyRecords ignores the stored records and has none of its own.
 type emptyRecords struct{}
 
-func (emptyRecords) Restore([]idempotency.Record, func(time.Duration) time.Time)    {}
+func (emptyRecords) Restore([]idempotency.Record, idempotency.ClassTerms, func(time.Duration) time.Time) {
+}
 func (emptyRecords) Records(func(time.Time) time.Duration) (l []idempotency.Record) { return l }
 func (emptyRecords) LongestWindow() time.Duration                                   { return 0 }
+func (emptyRecords) Terms() idempotency.ClassTerms                                  { return nil }
 
 // fillStore creates a store in dir with the given number of records, which have their results. The number is a multiple of 1000.
 func fillStore(b *testing.B, dir string, records int) {
