Heartbeats carry the window, which a restart or a reload may change

What callers saw: at a server with life and without a store, a retry inside the window ran a second time after a restart with a shorter memory_span. In the other direction, a reload with a longer one failed all new keyed requests of a server that had served them for long.

Cause: the time in which unknown keys fail is the window less the downtime, and unknownRunsRemaining took the window of the present settings at every call, whatever the earlier process had, and also after that time was over.

Change: a heartbeat of such a server has the longest retention by which its recent requests may be repeated, with a checksum, as a field that earlier builds ignore. recovery.UnknownRuns takes the longer of both; a reload prolongs it only while it lasts.

Measured, real processes, before and after: TestHeartbeatsKeepTheLongerWindow, the request after the reload failed, then served, and ran once over two restarts.

--- a/cmd/silverpath/retention_test.go
+++ b/cmd/silverpath/retention_test.go
@@ -181,3 +181,22 @@
 		t.Errorf("a key that may have run under the longer window: %s, %d runs; want failed and none", a.Outcome, d.Runs()["sheet"])
 	}
 }
+
+// Guards against a second run of a request that an earlier process without a store ran, after a restart with a shorter window. Before that,
+// a reload that lengthens the window must not bring the time back in which unknown keys fail.
+func TestHeartbeatsKeepTheLongerWindow(t *testing.T) {
+	t.Parallel()
+	d := newDurableService(t)
+	d.configureHeartbeat(400*time.Millisecond, false)
+	d.span = shortWindow
+	g := d.startBeforeLoad()
+	d.awaitRecovered(g)
+	reloadWindow(t, g, longWindow)
+	first := d.serveOnce("sheet")
+	time.Sleep(400 * time.Millisecond) // until a heartbeat has the longer window
+	for range 2 {
+		g.Kill()
+		g = d.startBeforeLoad()
+	}
+	d.checkRanOnce("sheet", first, forgotten)
+}
--- a/internal/policy/recovery/recovery_test.go
+++ b/internal/policy/recovery/recovery_test.go
@@ -180,3 +180,25 @@
 		t.Errorf("found only %d files that write to disk, want at least 8", len(found))
 	}
 }
+
+// Guards against a period without unknown runs that begins too early: the longer of the windows of both processes counts, also one that a
+// reload brings. A period that has ended does not begin again.
+func TestUnknownRuns(t *testing.T) {
+	const second = time.Second
+	runs := NewUnknownRuns(5*second, 10*second)
+	if got := runs.Remaining(4 * second); got != 6*second {
+		t.Errorf("%v remain, want 6s", got)
+	}
+	if got := runs.Extended(20*second, 9*second).Remaining(9 * second); got != 11*second {
+		t.Errorf("extended: %v remain, want 11s", got)
+	}
+	if got := runs.Extended(20*second, 10*second).Remaining(10 * second); got > 0 {
+		t.Errorf("extended after its end: %v remain, want none", got)
+	}
+	var recent RecentRetention
+	for _, c := range []struct{ now, retention, want time.Duration }{{0, 5, 5}, {1, 10, 10}, {2, 5, 10}, {11, 5, 10}, {12, 5, 5}, {13, 4, 5}} {
+		if got := recent.Update(c.now*second, c.retention*second); got != c.want*second {
+			t.Errorf("recent retention %v at %v, want %v", got, c.now*second, c.want*second)
+		}
+	}
+}
--- a/internal/service/classes.go
+++ b/internal/service/classes.go
@@ -40,6 +40,7 @@
 		return err
 	}
 	s.cfg.Server, s.windows = next, windows
+	s.extendUnknownRuns()
 	s.scheduleWindowEnd(now)
 	events.Log(s.log, "reload.settings", describeClasses(next))
 	return nil
--- a/internal/service/heartbeat.go
+++ b/internal/service/heartbeat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"silverpath/internal/policy/idempotency"
+	"silverpath/internal/policy/recovery"
 	"silverpath/internal/storage/heartbeat"
 )
 
@@ -22,9 +23,15 @@
 	if s.restartLink != nil {
 		return errors.New("life: not supported with hot restart (LB_SOCKET_FD)")
 	}
-	if s.heartbeat, err = heartbeat.Open(config.File, s.cfg.Name, config.ValidFor, s.log, s.stats); err != nil {
+	retention := s.core.LongestWindow
+	if s.store != nil {
+		retention = nil // the store knows the runs and their windows
+	}
+	if s.heartbeat, err = heartbeat.Open(config.File, s.cfg.Name, config.ValidFor, retention, s.log, s.stats); err != nil {
 		return fmt.Errorf("life.file: %w", err)
 	}
+	unknownRuns := recovery.NewUnknownRuns(s.core.LongestWindow(), s.heartbeat.PreviousRetention())
+	s.unknownRuns.Store(&unknownRuns)
 	downtime, _ := s.heartbeat.Downtime()
 	s.stats.Set(uint64(downtime.Milliseconds()), "life", "dark_ms")
 	s.core.SetUnknownRunsUntil(time.Now().Add(-downtime).UnixMilli())
@@ -46,8 +53,18 @@
 }
 
 // unknownRunsRemaining returns how much longer a client may repeat an idempotent request that an earlier process may have run and that
-// no store recorded: the longest idempotency window less the time for which no process has run any request.
+// no store recorded, by the longest windows of that process and of this one.
 func (s *Service) unknownRunsRemaining() time.Duration {
 	downtime, _ := s.heartbeat.Downtime()
-	return s.core.LongestWindow() - downtime
+	return s.unknownRuns.Load().Remaining(downtime)
+}
+
+// extendUnknownRuns applies windows that have become longer to the time in which unknown keys fail. The caller holds settingsMu.
+func (s *Service) extendUnknownRuns() {
+	if s.heartbeat == nil {
+		return
+	}
+	downtime, _ := s.heartbeat.Downtime()
+	extended := s.unknownRuns.Load().Extended(s.core.LongestWindow(), downtime)
+	s.unknownRuns.Store(&extended)
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -13,6 +13,7 @@
 	"log"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"silverpath/internal/builtinworker"
@@ -21,6 +22,7 @@
 	"silverpath/internal/core"
 	"silverpath/internal/metrics"
 	"silverpath/internal/policy/configstore"
+	"silverpath/internal/policy/recovery"
 	"silverpath/internal/proxy"
 	"silverpath/internal/settings"
 	"silverpath/internal/storage/heartbeat"
@@ -65,11 +67,12 @@
 	builtinWorker *builtinworker.Interpreter // set only if the process was started without a configuration
 
 	// Each of these is nil unless the edge file configures it; restartLink is nil unless the process inherits its socket.
-	commands    *command.Executor       // executes fenced commands
-	configWatch *configwatch.Watcher    // applies the documents of a group
-	store       *idempotencystore.Store // keeps idempotency keys across restarts
-	heartbeat   *heartbeat.Heartbeats   // writes the heartbeat on disk
-	restartLink *restartlink.Link       // link to the predecessor or the successor of a hot restart
+	commands    *command.Executor                    // executes fenced commands
+	configWatch *configwatch.Watcher                 // applies the documents of a group
+	store       *idempotencystore.Store              // keeps idempotency keys across restarts
+	heartbeat   *heartbeat.Heartbeats                // writes the heartbeat on disk
+	unknownRuns atomic.Pointer[recovery.UnknownRuns] // set with heartbeat; see unknownRunsRemaining
+	restartLink *restartlink.Link                    // link to the predecessor or the successor of a hot restart
 
 	loadReporter *loadreport.Reporter // sends no reports while its address is empty
 
