A store file without terms stays without them when it is compacted

The key is now written only if there are terms. The test passes unchanged, as do the tests of restarts with other windows.

--- a/internal/storage/idempotencystore/file.go
+++ b/internal/storage/idempotencystore/file.go
@@ -217,7 +217,10 @@
 	if err != nil {
 		return err
 	}
-	return errors.Join(tx.Bucket(bucketMeta).Put(headerKey, text), tx.Bucket(bucketMeta).Put(termsKey, h.terms.encode()))
+	if err := tx.Bucket(bucketMeta).Put(headerKey, text); err != nil || h.terms.empty() {
+		return err
+	}
+	return tx.Bucket(bucketMeta).Put(termsKey, h.terms.encode())
 }
 
 // maxUnreadable is the number of records that newestTime tries to decode before it treats the file as empty.
--- a/internal/storage/idempotencystore/terms.go
+++ b/internal/storage/idempotencystore/terms.go
@@ -26,6 +26,9 @@
 	Deadline int64 `json:"deadline_ns"`
 }
 
+// empty reports whether there are no terms to store, as in a new file and in one of an earlier build.
+func (t fileTerms) empty() bool { return t.classes == nil && t.unknownRetention == 0 }
+
 // encode returns the stored form.
 func (t fileTerms) encode() []byte {
 	stored := storedTerms{Classes: map[string]storedClass{}, UnknownRetention: int64(t.unknownRetention)}
