Two processes of a hot restart may have different windows

What callers saw: a retry inside its window ran a second time after a hot restart with another memory_span: at the successor, with a longer or a shorter one; at either process while both lived, also for requests that ran after the start of the successor; and after a predecessor with the longer window had died before it listed its runs.

Cause: the successor kept the predecessor's expiry and judged by its own class's window; the predecessor forgot a run by its own window while the successor still had it, and then ran the key as its owner; the time for unknown keys followed the window of the process that computed it, and did not grow with a reload.

Change: the successor extends the runs that it receives, and sends those that have ended back with the longer window, in messages that earlier builds understand. Each process stores its longest window in the file of its slot, and the other counts unknown keys by it. A reload prolongs that time.

--- a/cmd/silverpath/retention_test.go
+++ b/cmd/silverpath/retention_test.go
@@ -200,3 +200,73 @@
 	}
 	d.checkRanOnce("sheet", first, forgotten)
 }
+
+// newPairService returns a service whose processes share a socket for a hot restart, with the given window.
+func newPairService(t *testing.T, window time.Duration) *durableService {
+	t.Helper()
+	d := newDurableService(t)
+	edit := d.Edit
+	d.Shared, d.span = sharedService(t), window
+	d.Timeout, d.Edit = 900*time.Millisecond, edit
+	return d
+}
+
+// Guards against a second run after a hot restart with another window: the successor expired or judged the predecessor's runs by one window
+// only, and the predecessor forgot a run that the successor still remembered.
+func TestHotRestartWithAnotherWindow(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		old, next    time.Duration
+		after        time.Duration
+		oldStays     bool // attempts reach either process
+		successorRan bool // the successor ran the requests, not the predecessor
+	}{
+		"longer":                                 {shortWindow, longWindow, forgotten, false, false},
+		"shorter":                                {longWindow, shortWindow, time.Second, false, false},
+		"longer, both processes":                 {shortWindow, longWindow, forgotten, true, false},
+		"longer, both processes, later requests": {shortWindow, longWindow, forgotten, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newPairService(t, c.old)
+			old := d.Start()
+			old.AwaitReady(t)
+			var first time.Time
+			serve := func() {
+				first = time.Now()
+				d.serveNew("sheet", 10)
+			}
+			if !c.successorRan {
+				serve()
+			}
+			d.span = c.next
+			next := d.Start()
+			next.AwaitReady(t)
+			if c.successorRan {
+				serve()
+			}
+			if !c.oldStays {
+				old.Leave(t)
+			}
+			for i := range 10 {
+				d.checkRanOnce(fmt.Sprintf("sheet-%d", i), first, c.after)
+			}
+		})
+	}
+}
+
+// Guards against a run of an unknown key after the predecessor died before it had listed its runs: the successor, which has a shorter
+// window, took its own for that of the runs that it does not know.
+func TestPredecessorWithALongerWindowDies(t *testing.T) {
+	t.Parallel()
+	d := newPairService(t, longWindow)
+	old := d.Start()
+	old.AwaitReady(t)
+	first := d.serveOnce("sheet")
+	old.Freeze()
+	d.span = shortWindow
+	next := d.Start()
+	old.Kill()
+	next.AwaitReady(t)
+	d.checkRanOnce("sheet", first, forgotten)
+}
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -45,6 +45,7 @@
 	ready         bool                     // this process may take requests
 	readyChannel  chan struct{}            // closed once ready is set
 	waitingForKey map[string]chan struct{} // closed when the caller disconnects; by the id of a request that waits for its key
+	peerWindow    time.Duration            // longest idempotency window of other processes, as PairWindow reported it
 	limitsShared  bool
 	soleLimits    pairLimits // the limits without a second process
 }
@@ -164,14 +165,44 @@
 	})
 }
 
-// windowEnd returns the latest time, in Unix nanoseconds, at which an attempt that duplicates a run of before now can reach the
-// machine. The attempt may be read later than that; see LongestWindow.
+// PairWindow is called by the link with the longest idempotency window of the other process, or of an earlier one, 0 if it is unknown. It
+// is called before PairPeerAbsent.
+func (c *Core) PairWindow(window time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pair.peerWindow = max(c.pair.peerWindow, window)
+}
+
+// LongestIdempotencyWindow returns the longest window of all idempotent classes.
+func (c *Core) LongestIdempotencyWindow() time.Duration { return c.Terms().Longest().Window }
+
+// windowEnd returns the latest time, in Unix nanoseconds, at which an attempt that duplicates a run of before now, of this process or
+// another, can reach the machine. The attempt may be read later than that; see LongestWindow. It is called under the lock.
 func (c *Core) windowEnd() int64 {
-	longest := time.Duration(0)
-	for _, k := range c.settings.Load().Classes {
-		longest = max(longest, k.IdempotencyWindow)
+	return time.Now().Add(max(c.LongestIdempotencyWindow(), c.pair.peerWindow) + windowSlack).UnixNano()
+}
+
+// extendPair applies terms that have become longer to what this process and the other one know of each other's runs. It is called under
+// the lock after the terms have changed, with the longest window before.
+func (c *Core) extendPair(longestBefore time.Duration) {
+	if c.pair == nil {
+		return
+	}
+	if growth := c.LongestIdempotencyWindow() - longestBefore; growth > 0 {
+		c.pair.coordinator.ExtendUnknown(time.Now().UnixNano(), growth)
+	}
+	for _, e := range c.keys.entries {
+		c.announceExtended(e)
+	}
+	c.applyPairEffects()
+}
+
+// announceExtended sends the other process a run that has ended and is retained for longer here than it may be there: an attempt of it that
+// reaches the other process must not run.
+func (c *Core) announceExtended(e *keyEntry) {
+	if x := e.latest; !e.isRead && e.queued == nil && x != nil && x.done {
+		c.pair.coordinator.RunEnded(x.forPeer())
 	}
-	return time.Now().Add(longest + windowSlack).UnixNano()
 }
 
 // PairLinkUp is called with a new link. It returns the link's number for PairTakeOutbox.
--- a/internal/core/peerkeys.go
+++ b/internal/core/peerkeys.go
@@ -122,11 +122,17 @@
 	return x.forPeer(), true
 }
 
-// Apply records the progress of a run of the other process. If the run has ended, its waiters here get the result.
+// Apply records the progress of a run of the other process. If the run has ended, its waiters here get the result. If the
+// run has a longer window here, the other process is told: it follows from the window how long it retains the run.
 func (p *pairKeys) Apply(m hotrestart.Execution) {
 	c := (*Core)(p)
-	if x := c.keys.updatePeer(m, time.Now()); x != nil && x.done {
-		c.completeWaiters(x)
+	x := c.keys.updatePeer(m, time.Now())
+	if x == nil || !x.done {
+		return
+	}
+	c.completeWaiters(x)
+	if x.entry.terms.Window > m.Window {
+		c.announceExtended(x.entry)
 	}
 }
 
--- a/internal/core/retention.go
+++ b/internal/core/retention.go
@@ -70,7 +70,12 @@
 
 // applyTerms applies the terms of the current classes to the keys and to their stored records. It is called under the lock.
 func (c *Core) applyTerms() {
-	if !c.keys.setTerms(c.Terms()) || c.store == nil {
+	longestBefore := c.keys.terms.Longest().Window
+	if !c.keys.setTerms(c.Terms()) {
+		return
+	}
+	c.extendPair(longestBefore)
+	if c.store == nil {
 		return
 	}
 	for _, e := range c.keys.entries {
--- a/internal/policy/hotrestart/claims.go
+++ b/internal/policy/hotrestart/claims.go
@@ -119,7 +119,8 @@
 // NoticeLost is called when the message with a run's notice could not be written. The caller leaves the mark instead.
 func (c *Coordinator) NoticeLost() { c.marks++ }
 
-// RunEnded is called when a run of this process has ended. It sends the result to the peer.
+// RunEnded is called when a run of this process has ended, and when a run that has ended, of either process, is retained for longer than
+// before. It sends the result and the new time to the peer.
 func (c *Coordinator) RunEnded(e Execution) {
 	if c.helloReceived {
 		c.send(Message{Kind: Run, Execution: e})
--- a/internal/policy/hotrestart/coordinator.go
+++ b/internal/policy/hotrestart/coordinator.go
@@ -12,6 +12,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Role is a process's role in a hot restart.
@@ -138,6 +139,14 @@
 // UnknownUntil returns the time, in Unix nanoseconds, up to which a received request may repeat a run that is unknown here.
 func (c *Coordinator) UnknownUntil() int64 { return c.unknownUntil }
 
+// ExtendUnknown prolongs the time in which requests may repeat an unknown run, because their window has grown. It changes nothing if that
+// time is over at now, in Unix nanoseconds.
+func (c *Coordinator) ExtendUnknown(now int64, growth time.Duration) {
+	if c.unknownUntil > now {
+		c.unknownUntil += int64(growth)
+	}
+}
+
 // PeerStartedAt returns the start of the peer in Unix nanoseconds, or 0 if no Hello of a peer was received.
 func (c *Coordinator) PeerStartedAt() int64 { return c.peerStartedAt }
 
--- a/internal/transport/restartlink/link.go
+++ b/internal/transport/restartlink/link.go
@@ -54,6 +54,8 @@
 	backoff  time.Duration // before the next connection attempt; grows until a link has received the peer's complete list of runs
 	nextDial time.Time
 
+	storedWindow time.Duration // see storeWindow
+
 	markMu sync.Mutex
 	marked bool
 }
@@ -101,6 +103,8 @@
 		return nil
 	}
 	l.slot, l.startedAt = slot, time.Now().UnixNano()
+	l.core.PairWindow(max(l.slots.window(0), l.slots.window(1))) // before this process stores its own
+	l.storeWindow()
 	if slot == 0 {
 		_ = os.Remove(l.slots.socketPath(0)) // left by a dead process, since the slot was free; if it cannot be removed, Listen fails
 		var err error
@@ -133,8 +137,21 @@
 	return false
 }
 
-// reportNoPeer notifies the core that there is no peer, and passes it the check for a dead peer's mark.
+// storeWindow stores the longest idempotency window of this process since its start, if it has grown.
+func (l *Link) storeWindow() {
+	window := l.core.LongestIdempotencyWindow()
+	if l.slot < 0 || window <= l.storedWindow {
+		return
+	}
+	if err := l.slots.storeWindow(l.slot, window); err != nil {
+		events.Log(l.log, "hotrestart.failed", err)
+	}
+	l.storedWindow = window // without another attempt: the peer then counts by its own window
+}
+
+// reportNoPeer notifies the core that there is no peer, and passes it the peer's window and the check for a dead peer's mark.
 func (l *Link) reportNoPeer() {
+	l.core.PairWindow(l.slots.window(1 - l.slot))
 	l.core.PairPeerAbsent(func(startedAt int64) bool {
 		_, err := os.Stat(l.slots.markPath(startedAt))
 		return err == nil
@@ -164,6 +181,7 @@
 		case conn := <-l.incoming:
 			l.serveLink(ctx, conn)
 		case <-tick.C:
+			l.storeWindow()
 			if l.slot < 0 {
 				if err := l.takeSlot(); err != nil {
 					events.Log(l.log, "hotrestart.failed", err)
--- a/internal/transport/restartlink/slots.go
+++ b/internal/transport/restartlink/slots.go
@@ -8,10 +8,14 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// maxWindowBytes is the most that is read of a slot's file: a number of nanoseconds and the end of the line.
+const maxWindowBytes = 24
+
 // slots are the two slots for processes of one service. Each slot is a file in a folder that the processes share, and the process in the
 // slot holds the lock on the file. The kernel releases the lock when the process ends, so a file left behind by a dead process has no
 // effect, and at most two processes have a slot.
@@ -67,6 +71,26 @@
 	return err != nil || l.Type != unix.F_UNLCK // if the lock cannot be queried, assume that another process holds it
 }
 
+// storeWindow writes the longest idempotency window of the process that holds a slot to the slot's file. The peer reads it after the process
+// has died. Earlier builds leave the file empty.
+func (s *slots) storeWindow(slot int, window time.Duration) error {
+	text := strconv.FormatInt(int64(window), 10) + "\n"
+	_, err := s.locks[slot].WriteAt([]byte(text), 0)
+	return err
+}
+
+// window returns the window that the present or the last holder of a slot has stored, or 0 if there is none.
+func (s *slots) window(slot int) time.Duration {
+	var buf [maxWindowBytes]byte
+	n, _ := s.locks[slot].ReadAt(buf[:], 0) // an error other than the end of the file leaves the window unknown
+	line, _, complete := strings.Cut(string(buf[:n]), "\n")
+	nanoseconds, err := strconv.ParseInt(line, 10, 64)
+	if !complete || err != nil || nanoseconds < 0 {
+		return 0
+	}
+	return time.Duration(nanoseconds)
+}
+
 // socketPath returns the path of the socket on which the process in a slot accepts the peer's connection. The path goes through the
 // folder's descriptor under /proc/self/fd, because the folder's own path may exceed the maximum length of a socket's path.
 func (s *slots) socketPath(slot int) string {
