A longer dep_window counts the calls that the shorter one has forgotten

Cause: reservedCallTime removes finished calls that are older than CallWindow.

Change: noteCallWindow records since when finished calls are known, and the part of the window before that counts as used up to the quota. A shorter window needs nothing: all its calls are known.

Measured: TestLongerCallWindowCountsForgottenCalls, with a window of 15 s after 5 s: 0 s reserved before, then the quota of 10 s, of 6 s after 4 s and none after 10 s. Shown in the module only, not with processes.

--- a/calls.go
+++ b/calls.go
@@ -92,7 +92,7 @@
 	s.finishedCalls = slices.DeleteFunc(s.finishedCalls, func(c finishedCall) bool {
 		return c.endedAt+s.settings.CallWindow < s.now
 	})
-	total := time.Duration(0)
+	total := s.unknownCallTime()
 	for _, c := range s.finishedCalls {
 		total += c.duration
 	}
@@ -104,6 +104,21 @@
 	return total
 }
 
+// noteCallWindow records since when finished calls are known if new settings lengthen CallWindow. Earlier
+// calls were forgotten by the shorter window.
+func (s *Shedder) noteCallWindow(next Settings) {
+	if next.CallWindow > s.settings.CallWindow {
+		s.callsKnownSince = max(s.callsKnownSince, s.now-s.settings.CallWindow)
+	}
+}
+
+// unknownCallTime returns the most that forgotten calls may have occupied the dependency within CallWindow:
+// the quota for the part of the window in which calls are not known.
+func (s *Shedder) unknownCallTime() time.Duration {
+	unknown := s.callsKnownSince - (s.now - s.settings.CallWindow)
+	return max(0, time.Duration(limitMargin*s.settings.CallQuota*float64(unknown)))
+}
+
 // callTimeout returns the timeout, at most wanted, of a call made now; it is 0 or less if no call is
 // allowed.
 func (s *Shedder) callTimeout(wanted time.Duration) time.Duration {
--- a/calls_test.go
+++ b/calls_test.go
@@ -194,3 +194,24 @@
 		t.Error("a call that adds no weight is not skipped")
 	}
 }
+
+// Guards against calls beyond the quota after a reload that lengthens CallWindow: calls of the longer window
+// that the shorter one has forgotten count as if they had used their quota.
+func TestLongerCallWindowCountsForgottenCalls(t *testing.T) {
+	s, _ := newTestShedder(t, func(set *Settings) { set.CallQuota, set.CallWindow = 1, 5*time.Second })
+	s.advanceClock(time.Minute)
+	if got := s.reservedCallTime(); got != 0 {
+		t.Fatalf("%v reserved without calls, want none", got)
+	}
+	longer := s.settings
+	longer.CallWindow = 15 * time.Second
+	if err := s.Reconfigure(time.Minute, longer); err != nil {
+		t.Fatal(err)
+	}
+	for after, want := range map[time.Duration]time.Duration{0: 10 * time.Second, 4 * time.Second: 6 * time.Second, 10 * time.Second: 0} {
+		s.now = time.Minute + after
+		if got := s.reservedCallTime(); got != time.Duration(limitMargin*float64(want)) {
+			t.Errorf("%v after the reload %v are reserved, want the quota of %v", after, got, want)
+		}
+	}
+}
--- a/record.go
+++ b/record.go
@@ -54,6 +54,7 @@
 	maxTierCalls     float64       // limit of concurrent calls to a tier below
 	nextTierDecrease time.Duration // earliest next decrease of maxTierCalls
 	finishedCalls    []finishedCall
+	callsKnownSince  time.Duration // finished calls before it may be forgotten within CallWindow
 
 	// Backpressure.
 	arrivals, rejections float64        // requests read and rejected since the last sample
--- a/shedder.go
+++ b/shedder.go
@@ -57,7 +57,8 @@
 	}
 	s := &Shedder{
 		settings: set, host: host, now: now, startedAt: now, baselineStart: now, nextSample: now + sampleInterval,
-		requestByID: map[string]*request{}, remembered: newKeyTable(),
+		callsKnownSince: now - maxDuration,
+		requestByID:     map[string]*request{}, remembered: newKeyTable(),
 	}
 	s.setClassesAndTenants(now, set)
 	s.baselineSlowdown = 1
@@ -92,6 +93,7 @@
 	}
 	set.Cold = s.settings.Cold
 	s.setClassesAndTenants(now, set)
+	s.noteCallWindow(set)
 	s.extendKeys()
 	s.settings = set
 	s.decideCalls()
