A health check names the interval by which the router counts its grant

Cause: checkHealth takes the interval of health checks before it connects, and counts the slow-start grant of the server by three of these; healthCheckFields read the interval again after the connect. A routing document that shortens probe_ms in between made the server end the grant earlier than the router, and give the same requests to another one.

Change: the interval is passed on, so both count by one value. A longer interval had the harmless direction.

--- a/internal/proxy/healthchecks.go
+++ b/internal/proxy/healthchecks.go
@@ -54,7 +54,7 @@
 	sentAt, inFlight := r.clock(), r.balancer.InFlight(s.Name)
 	r.mu.Unlock()
 	interval := r.checkInterval()
-	a, ok := r.sendHealthCheck(ctx, s.Addr, inFlight)
+	a, ok := r.sendHealthCheck(ctx, s.Addr, interval, inFlight)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ok {
@@ -70,15 +70,16 @@
 	}
 }
 
-// sendHealthCheck sends a health check on a new connection. It returns false if the connection fails or no answer arrives in time.
-func (r *Runner) sendHealthCheck(ctx context.Context, addr string, inFlight int) (a msgpackrpc.Reply, ok bool) {
+// sendHealthCheck sends a health check on a new connection. It returns false if the connection fails or no answer arrives in time. The
+// server's grant during its slow start is for a number of the given intervals, so the check names the interval by which the caller counts.
+func (r *Runner) sendHealthCheck(ctx context.Context, addr string, interval time.Duration, inFlight int) (a msgpackrpc.Reply, ok bool) {
 	c, err := r.cfg.Dial(ctx, addr)
 	if err != nil {
 		return a, false
 	}
 	defer c.Close()
 	_, reply, err := c.Send(func(id uint64) []byte {
-		return msgpackrpc.AppendProbe(nil, id, append(r.healthCheckFields(r.current.Load()), msgpackrpc.FieldInFlight, strconv.Itoa(inFlight))...)
+		return msgpackrpc.AppendProbe(nil, id, append(r.healthCheckFields(r.current.Load(), interval), msgpackrpc.FieldInFlight, strconv.Itoa(inFlight))...)
 	})
 	if err != nil {
 		return a, false
@@ -129,12 +130,13 @@
 // checkInterval returns the time between two health checks of a server.
 func (r *Runner) checkInterval() time.Duration { return time.Duration(r.healthCheckInterval.Load()) }
 
-// healthCheckFields returns the fields of a health check that describe this router's map and its terms, as alternating names and values.
-func (r *Runner) healthCheckFields(m *mapInForce) []string {
+// healthCheckFields returns the fields of a health check that describe this router's map, its terms and the interval of its health checks,
+// as alternating names and values.
+func (r *Runner) healthCheckFields(m *mapInForce, interval time.Duration) []string {
 	ms := func(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
 	t := r.conflictTerms(m.Map)
 	return []string{
 		msgpackrpc.FieldConfigID, m.name, msgpackrpc.FieldConfigSource, r.cfg.Name, msgpackrpc.FieldLease, ms(t.Lease), msgpackrpc.FieldClockSkew, ms(t.ClockSkew),
-		msgpackrpc.FieldProbeInterval, ms(t.ProbeInterval), msgpackrpc.FieldProbeTimeout, ms(t.ProbeTimeout), msgpackrpc.FieldOverlapWindow, ms(t.OverlapWindow),
+		msgpackrpc.FieldProbeInterval, ms(interval), msgpackrpc.FieldProbeTimeout, ms(t.ProbeTimeout), msgpackrpc.FieldOverlapWindow, ms(t.OverlapWindow),
 	}
 }
