A reload during a drain does not lengthen the drain window

What callers saw: after SIGTERM, a SIGHUP with a longer drain_grace had requests run that arrived after the drain window which was in force when the drain began.

Cause: the core and the module compare the arrival with the present DrainGrace, and reconfigure replaced it during a drain too.

Change: while the service shuts down, reconfigure keeps the shorter of both.

--- a/cmd/silverpath/retention_test.go
+++ b/cmd/silverpath/retention_test.go
@@ -10,6 +10,7 @@
 
 	"silverpath/internal/proxy"
 	"silverpath/internal/testkit/benchmarks"
+	"silverpath/internal/transport/client"
 )
 
 // Windows of the class in these tests. With the deadline of 1 s, a run under the short one was forgotten after 3.2 s.
@@ -270,3 +271,61 @@
 	next.AwaitReady(t)
 	d.checkRanOnce("sheet", first, forgotten)
 }
+
+// Guards against a second run after the group has lengthened the window of a class.
+func TestGroupLengthensTheWindow(t *testing.T) {
+	t.Parallel()
+	f := newDocumentFleet(t, keyWindow)
+	server := f.servers["s1"]
+	send := func() string {
+		a, err := client.Do(client.MessagePack, server.addr, client.Request{Class: "oddaja", Tenant: "brand", Key: "sheet", Body: []byte("sheet"), Timeout: 800 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a.Outcome
+	}
+	f.put("classes", writeClasses(t, "token", keyWindow, 3))
+	first := time.Now()
+	if got := send(); got != "served" {
+		t.Fatalf("first attempt: %s, want served", got)
+	}
+	f.put("classes", writeClasses(t, "token", longWindow, 3))
+	time.Sleep(time.Until(first.Add(keyWindow + forgotten)))
+	if got, n := send(), f.runsByBody()["sheet"]; got != "served" || n != 1 {
+		t.Errorf("second attempt: %s, %d runs; want served and 1", got, n)
+	}
+}
+
+// Guards against a run after the drain window: a reload during the drain lengthened it.
+func TestReloadDoesNotLengthenADrain(t *testing.T) {
+	t.Parallel()
+	d := newPairService(t, longWindow) // a held socket accepts until the end
+	d.Edit = func(text string) string { // exits after 3.7 s
+		return strings.Replace(text, `"stop_ms":1000`, `"stop_ms":3700`, 1)
+	}
+	g := d.Start()
+	g.AwaitReady(t)
+	text, err := os.ReadFile(g.File)
+	if err != nil {
+		t.Fatal(err)
+	}
+	longer := strings.Replace(string(text), `"drain_grace":2000000`, `"drain_grace":9000000`, 1)
+	if longer == string(text) {
+		t.Fatal("the configuration has no drain_grace of 2 s")
+	}
+	_ = g.Signal(syscall.SIGTERM)
+	if _, err := g.Await(5*time.Second, 0, "phase draining"); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(g.File, []byte(longer), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_ = g.Signal(syscall.SIGHUP)
+	if _, err := g.Await(time.Second, 0, "reload: done"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2100 * time.Millisecond) // after the drain window of 2 s, and before the process stops accepting
+	if a := d.sendAttempt("late", "late"); a.Outcome != "refused" || d.Runs()["late"] != 0 {
+		t.Errorf("after the drain window: %s, %d runs; want refused and none", a.Outcome, d.Runs()["late"])
+	}
+}
--- a/internal/core/settings.go
+++ b/internal/core/settings.go
@@ -29,6 +29,9 @@
 	if c.module == nil {
 		return nil
 	}
+	if c.lifecycle.current().ShuttingDown() { // the drain window began under the shorter one
+		settings.DrainGrace = min(settings.DrainGrace, c.settings.Load().DrainGrace)
+	}
 	var err error
 	c.decide(func(m *silverpath.Shedder, now time.Duration) { err = m.Reconfigure(now, c.plannedSettings(settings)) })
 	if err != nil {
