A restart with a shorter memory_span waits as a reload does, where a store remembers it

What callers saw: at a server with a store, a request that ran just after a restart with a shorter window ran again for a retry within the longer one, on which its caller still acted. docs/rules.md promises that a class's value shrinks on each server only after the longer one and a caller's patience. A server without a store remembers nothing across a restart.

Change: a service starts with the windows that its store was last in use with, and then changes to its own by the same transition as a reload.

--- a/cmd/silverpath/retention_test.go
+++ b/cmd/silverpath/retention_test.go
@@ -146,9 +146,11 @@
 	g := d.startLoaded()
 	first := d.serveOnce("sheet")
 	g = d.restart(g, shortWindow)
+	second := d.serveOnce("sheet-after") // its caller may not know the shorter window yet
 	d.checkRanOnce("sheet", first, time.Second)
 	d.restart(g, shortWindow)
 	d.checkRanOnce("sheet", first, forgotten)
+	d.checkRanOnce("sheet-after", second, forgotten)
 }
 
 // Guards against a second run after a reload that lengthens the window and a restart that shortens it again: the store had the run with the
@@ -299,7 +301,7 @@
 // Guards against a run after the drain window: a reload during the drain lengthened it.
 func TestReloadDoesNotLengthenADrain(t *testing.T) {
 	t.Parallel()
-	d := newPairService(t, longWindow) // a held socket accepts until the end
+	d := newPairService(t, longWindow)  // a held socket accepts until the end
 	d.Edit = func(text string) string { // exits after 3.7 s
 		return strings.Replace(text, `"stop_ms":1000`, `"stop_ms":3700`, 1)
 	}
--- a/internal/service/classes.go
+++ b/internal/service/classes.go
@@ -46,6 +46,24 @@
 	return nil
 }
 
+// keepStoredWindows applies the windows with which the store was last in use: a restart with a shorter window is a change like a reload,
+// and clients may still act on the longer one.
+func (s *Service) keepStoredWindows() error {
+	if s.store == nil {
+		return nil
+	}
+	previous := map[string]configstore.ClassWindow{}
+	for class, terms := range s.store.LastTerms() {
+		previous[class] = configstore.ClassWindow{Window: terms.Window, Deadline: terms.Deadline}
+	}
+	s.settingsMu.Lock()
+	defer s.settingsMu.Unlock()
+	now := s.clock()
+	s.windows = configstore.WindowTransitions{}.Change(now, previous).Change(now, classWindows(s.cfg.Server.Classes))
+	s.scheduleWindowEnd(now)
+	return s.core.Reconfigure(withWindows(s.cfg.Server, s.windows, now))
+}
+
 // scheduleWindowEnd schedules the end of the next window that a class keeps from earlier settings. The caller holds settingsMu.
 func (s *Service) scheduleWindowEnd(now time.Duration) {
 	if end, ok := s.windows.NextEnd(now); ok {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -112,6 +112,7 @@
 	for _, step := range []func() error{
 		s.openCore,
 		func() error { return build(b) },
+		s.keepStoredWindows,
 		func() error { return s.openFronts(b) },
 		s.openSNMP,
 		s.openAdmin,
--- a/internal/storage/idempotencystore/store.go
+++ b/internal/storage/idempotencystore/store.go
@@ -56,6 +56,7 @@
 	log          *log.Logger
 	stats        *metrics.Counters
 	commitTiming *metrics.Timing
+	lastInUse    idempotency.ClassTerms // the terms of the file at Open
 	wake         chan struct{}
 	stopped      chan struct{} // closed once Run has ended
 	loaded       chan struct{} // closed once all records are loaded
@@ -98,7 +99,7 @@
 		return nil, err
 	}
 	s := &Store{
-		cfg: cfg, owner: owner, lock: lock, file: f, completeSince: f.header.CompleteSinceWall,
+		cfg: cfg, owner: owner, lock: lock, file: f, completeSince: f.header.CompleteSinceWall, lastInUse: f.header.terms.classes,
 		log: cfg.Log, stats: cfg.Stats, commitTiming: cfg.Stats.Timing("store_commit"),
 		wake: make(chan struct{}, 1), stopped: make(chan struct{}), loaded: make(chan struct{}),
 		ledger: idempotency.NewLedger(idempotency.Limits{Bytes: cfg.MaxBytes, ResultReserve: cfg.ResultReserve,
@@ -126,6 +127,9 @@
 	return s.completeSince
 }
 
+// LastTerms returns the terms of the classes with which the store was last in use, or nil if they are unknown.
+func (s *Store) LastTerms() idempotency.ClassTerms { return s.lastInUse }
+
 // CanExecute decides whether a new idempotent request with this much time left may run.
 func (s *Store) CanExecute(left time.Duration) idempotency.Decision {
 	s.mu.Lock()
