The test of an idle connection's end no longer ends the next connection too

Cause: a trace of a failed run shows that the router read lastTaken and the end of the first connection, as in a run that passes. The request was then sent again on a new connection, and EndConnections, which the test runs beside it, goes on to end connections until the server has none: under load it found the new one idle before its request had arrived. A server ends its connections only when nothing is accepted any more.

Change: the second connection is dialled once EndConnections has returned. What the test demands is the same: served, and two runs of two requests.

--- a/internal/proxy/rest_test.go
+++ b/internal/proxy/rest_test.go
@@ -80,7 +80,11 @@
 	defer l.Close()
 	defer s.core.Stop()
 	var first *gatedConn
+	ended := make(chan struct{}) // closed when the server has no connection; until then EndConnections ends new ones too
 	u := &upstream{name: "s", addr: ln.Addr().String(), slots: make(chan struct{}, 4), dial: func(ctx context.Context, addr string) (*msgpackrpc.Conn, error) {
+		if first != nil {
+			<-ended
+		}
 		conn, err := net.Dial("tcp", addr)
 		if err != nil || first != nil {
 			return msgpackrpc.NewConn(conn), err
@@ -100,8 +104,11 @@
 	first.mu.Lock()
 	first.open = make(chan struct{})
 	first.mu.Unlock()
-	go l.EndConnections(10 * time.Second) // closes the connection as soon as it is idle
-	<-first.received                      // the server's last message has arrived and is held back from the router
+	go func() {
+		l.EndConnections(10 * time.Second) // closes the connection as soon as it is idle
+		close(ended)
+	}()
+	<-first.received // the server's last message has arrived and is held back from the router
 	done := make(chan attemptResult)
 	go func() { done <- send("two") }()
 	<-first.written
