A store rewrites its file only if a reload has prolonged a record

Ledger.Extend says whether it changed anything; before, any change of the classes' terms had the file rewritten, also one that shortens a window.

--- a/internal/policy/idempotency/ledger.go
+++ b/internal/policy/idempotency/ledger.go
@@ -228,12 +228,16 @@
 	return true
 }
 
-// Extend keeps a record until a later time than it was added with. An earlier time, or an unknown record, changes nothing.
-func (l *Ledger) Extend(seq uint64, expiresAt time.Duration) {
-	if e := l.entries[seq]; e != nil && expiresAt > e.expiresAt {
-		e.expiresAt = expiresAt
-		heap.Fix(&l.byExpiry, e.heapIndex)
+// Extend keeps a record until a later time than it was added with. It returns false, and changes nothing, for an earlier time or an unknown
+// record.
+func (l *Ledger) Extend(seq uint64, expiresAt time.Duration) bool {
+	e := l.entries[seq]
+	if e == nil || expiresAt <= e.expiresAt {
+		return false
 	}
+	e.expiresAt = expiresAt
+	heap.Fix(&l.byExpiry, e.heapIndex)
+	return true
 }
 
 // ExtendIncomplete prolongs the time until which runs are missing that may be repeated. It changes nothing once that time is over.
--- a/internal/storage/idempotencystore/store.go
+++ b/internal/storage/idempotencystore/store.go
@@ -213,8 +213,9 @@
 func (s *Store) Extend(seq uint64, expiresAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ledger.Extend(seq, sinceBoot(expiresAt))
-	s.extended = true
+	if s.ledger.Extend(seq, sinceBoot(expiresAt)) {
+		s.extended = true
+	}
 }
 
 // TermsChanged makes the writer store the terms of the classes, and the records with the times that Extend has set.
