--- a/admission.go
+++ b/admission.go
@@ -45,7 +45,7 @@
 	}
 	r.started = true
 	if r.class.Effect == NonIdempotent {
-		s.remembered.add(keyEntry{id: r.ID, addedAt: s.now, expiresAt: s.now + r.class.Deadline})
+		s.remembered.add(keyEntry{id: r.ID, expiresAt: s.now + r.class.Deadline})
 	}
 	s.setState(r, running)
 	s.host.Run(r.ID)
--- a/calls.go
+++ b/calls.go
@@ -115,8 +115,8 @@
 // unknownCallTime returns the most that forgotten calls may have occupied the dependency within CallWindow:
 // the quota for the part of the window in which calls are not known.
 func (s *Shedder) unknownCallTime() time.Duration {
-	unknown := s.callsKnownSince - (s.now - s.settings.CallWindow)
-	return max(0, time.Duration(limitMargin*s.settings.CallQuota*float64(unknown)))
+	unknown := max(0, s.callsKnownSince-(s.now-s.settings.CallWindow))
+	return time.Duration(limitMargin * s.settings.CallQuota * float64(unknown))
 }
 
 // callTimeout returns the timeout, at most wanted, of a call made now; it is 0 or less if no call is
--- a/idempotency.go
+++ b/idempotency.go
@@ -46,13 +46,11 @@
 	switch {
 	case c.Effect == Idempotent:
 		s.host.RememberKey(r.ID, c.IdempotencyWindow)
-		s.remembered.add(keyEntry{id: r.ID, class: c.Name, addedAt: s.now,
-			expiresAt: s.now + c.IdempotencyWindow + tickInterval, memoryKB: s.settings.KeyKB})
+		s.remembered.add(keyEntry{r.ID, s.now + c.IdempotencyWindow + tickInterval, s.settings.KeyKB, c})
 	case c.Effect == Safe && s.settings.FreshFor > 0 && r.Key != "" && r.DuplicateOf == "" &&
 		s.memoryKB+s.remembered.memoryKB+s.settings.KeyKB <= freshMemoryRatio*s.settings.MemoryKB:
 		s.host.RememberKey(r.ID, c.Objective+s.settings.FreshFor)
-		s.remembered.add(keyEntry{id: r.ID, addedAt: s.now,
-			expiresAt: s.now + c.Objective + s.settings.FreshFor + tickInterval, memoryKB: s.settings.KeyKB})
+		s.remembered.add(keyEntry{r.ID, s.now + c.Objective + s.settings.FreshFor + tickInterval, s.settings.KeyKB, nil})
 	}
 }
 
@@ -60,22 +58,25 @@
 // their class, because the host keeps their keys for longer then. Requests of a class that is gone may
 // return under any other class.
 func (s *Shedder) extendKeys() {
-	longest := time.Duration(0)
+	var longest *class
 	for _, c := range s.classes {
-		if c.Effect == Idempotent {
-			longest = max(longest, c.IdempotencyWindow)
+		if c.Effect == Idempotent && (longest == nil || c.IdempotencyWindow > longest.IdempotencyWindow) {
+			longest = c
 		}
 	}
 	for i := range s.remembered.entries {
 		e := &s.remembered.entries[i]
-		if e.class == "" {
+		if e.class == nil {
 			continue
 		}
-		window := longest
-		if c := s.classByName[e.class]; c != nil && c.Effect == Idempotent {
-			window = c.IdempotencyWindow
+		next := s.classByName[e.class.Name]
+		if next == nil || next.Effect != Idempotent {
+			next = longest
+		}
+		if next != nil && next.IdempotencyWindow > e.class.IdempotencyWindow {
+			e.expiresAt += next.IdempotencyWindow - e.class.IdempotencyWindow
+			e.class = next
 		}
-		e.expiresAt = max(e.expiresAt, e.addedAt+window+tickInterval)
 	}
 }
 
@@ -97,10 +98,9 @@
 // keyEntry is one remembered request.
 type keyEntry struct {
 	id        string
-	class     string // empty unless the class is Idempotent
-	addedAt   time.Duration
 	expiresAt time.Duration
 	memoryKB  float64
+	class     *class // with the window that expiresAt follows from; nil unless the class is Idempotent
 }
 
 func newKeyTable() keyTable { return keyTable{ids: map[string]bool{}} }
