--- a/idempotency.go
+++ b/idempotency.go
@@ -50,7 +50,8 @@
 	case c.Effect == Safe && s.settings.FreshFor > 0 && r.Key != "" && r.DuplicateOf == "" &&
 		s.memoryKB+s.remembered.memoryKB+s.settings.KeyKB <= freshMemoryRatio*s.settings.MemoryKB:
 		s.host.RememberKey(r.ID, c.Objective+s.settings.FreshFor)
-		s.remembered.add(keyEntry{r.ID, s.now + c.Objective + s.settings.FreshFor + tickInterval, s.settings.KeyKB, nil})
+		s.remembered.add(keyEntry{id: r.ID, memoryKB: s.settings.KeyKB,
+			expiresAt: s.now + c.Objective + s.settings.FreshFor + tickInterval})
 	}
 }
 
