--- a/review/second/cells.go
+++ b/review/second/cells.go
@@ -9,7 +9,7 @@
 )
 
 func init() {
-	cases["6"] = namedTenant
+	cases["named-tenant"] = namedTenant
 }
 
 const (
@@ -45,36 +45,51 @@
 // serverNames are the servers of a fleet: the loss or the restart of one is that of a sixth of them.
 var serverNames = []string{"s1", "s2", "s3", "s4", "s5", "s6"}
 
-// startFleet starts a fleet with the given tenants and waits until its routers send keyed requests.
-func (r *rig) startFleet(tenants []object, edge func(server string) object) (*fleet, error) {
+// plan is how a fleet is set up, beyond the settings of the folder deploy.
+type plan struct {
+	tenants      []object
+	inA          int                        // servers in cell a, of which s1 is the first; 0: one
+	edge         func(server string) object // edge file of a server; nil: that of a server in a cell
+	changeServer func(settings object)      // of servers; nil: none
+	changeRouter func(settings object)      // of routers; nil: none
+}
+
+// startFleet starts a fleet and waits until its routers send keyed requests.
+func (r *rig) startFleet(set plan) (*fleet, error) {
+	if set.edge == nil {
+		set.edge = inCell
+	}
 	addrs, err := freeAddrs(len(serverNames) + 2)
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{rig: r}
 	for n, name := range serverNames {
-		f.servers = append(f.servers, object{"name": name, "addr": addrs[n], "cell": "b"})
+		cell := "b"
+		if n < max(1, set.inA) {
+			cell = "a"
+		}
+		f.servers = append(f.servers, object{"name": name, "addr": addrs[n], "cell": cell})
 		i, err := r.interpreter("of "+name, 300*time.Millisecond)
 		if err != nil {
 			return nil, err
 		}
-		p, err := r.server(name, name, addrs[n], i.addr(), edge(name))
+		p, err := r.server(name, name, addrs[n], i.addr(), set.edge(name), set.changeServer)
 		if err != nil {
 			return nil, err
 		}
 		f.interpreters, f.procs = append(f.interpreters, i), append(f.procs, p)
 	}
-	f.servers[0]["cell"] = "a"
 	for _, p := range f.procs {
 		if err := r.logged(p, "phase serving", 10*time.Second); err != nil {
 			return nil, err
 		}
 	}
-	if f.mapPath, err = r.write("cells.json", fleetMap(1, f.servers, tenants)); err != nil {
+	if f.mapPath, err = r.write("cells.json", fleetMap(1, f.servers, set.tenants)); err != nil {
 		return nil, err
 	}
 	for n, name := range []string{"r1", "r2"} {
-		p, err := r.router(name, addrs[len(serverNames)+n], f.mapPath)
+		p, err := r.router(name, addrs[len(serverNames)+n], f.mapPath, set.changeRouter)
 		if err != nil {
 			return nil, err
 		}
@@ -114,7 +129,7 @@
 	yesterday := time.Now().Add(-24 * time.Hour)
 	unnamed := object{"name": "", "rate": 38, "homes": []object{{"cell": "b"}, {"cell": "a", "from_ms": ms(yesterday)}}}
 	main := object{"name": "kvizmojster", "rate": 60, "homes": []object{{"cell": "a"}}}
-	f, err := r.startFleet([]object{main, unnamed}, inCell)
+	f, err := r.startFleet(plan{tenants: []object{main, unnamed}})
 	if err != nil {
 		return "", err
 	}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -16,7 +16,7 @@
 // limit ends a case that takes too long; it is below the 120 seconds that a case may take.
 const limit = 110 * time.Second
 
-// cases are the cases by their number. Each returns what broke the rule, or an empty text if the rule held.
+// cases are the cases by their name. Each returns what broke the rule, or an empty text if the rule held.
 var cases = map[string]func(*rig) (string, error){}
 
 // exit codes
--- a/review/second/restart.go
+++ b/review/second/restart.go
@@ -10,8 +10,8 @@
 )
 
 func init() {
-	cases["7"] = overlappingStart
-	cases["10"] = refusedAfterCrash
+	cases["overlapping-start"] = overlappingStart
+	cases["refused-after-crash"] = refusedAfterCrash
 }
 
 // tenants are those of deploy/cells.json that live in cell a.
@@ -22,7 +22,7 @@
 // overlappingStart: the next process of a server is started while the present one still serves, and waits for its address. The sheets that
 // the old process ran until it left are taken for runs of long before, as the start of the new one counts.
 func overlappingStart(r *rig) (string, error) {
-	f, err := r.startFleet(tenants(), inCell)
+	f, err := r.startFleet(plan{tenants: tenants()})
 	if err != nil {
 		return "", err
 	}
@@ -34,7 +34,7 @@
 			return "", err
 		}
 		f.interpreters = append(f.interpreters, next)
-		p, err := r.server("s1-next", "s1", f.servers[0]["addr"].(string), next.addr(), inCell("s1"))
+		p, err := r.server("s1-next", "s1", f.servers[0]["addr"].(string), next.addr(), inCell("s1"), nil)
 		if err != nil {
 			return "", err
 		}
@@ -75,7 +75,7 @@
 		}
 		<-p.done
 	}
-	f, err := r.startFleet(tenants(), edge)
+	f, err := r.startFleet(plan{tenants: tenants(), edge: edge})
 	if err != nil {
 		return "", err
 	}
@@ -103,7 +103,7 @@
 			return "", err
 		}
 		f.interpreters = append(f.interpreters, next)
-		p, err := r.server("s1-back", "s1", f.servers[0]["addr"].(string), next.addr(), edge("s1"))
+		p, err := r.server("s1-back", "s1", f.servers[0]["addr"].(string), next.addr(), edge("s1"), nil)
 		if err != nil {
 			return "", err
 		}
@@ -131,9 +131,6 @@
 	}
 	repeats.Wait()
 	r.note("%d repeats of sheets that have run: %v", len(sheets), outcomes)
-	if status, err := client.Status(client.MessagePack, f.routerAddrs[1]); err == nil {
-		r.note("status of router r2: %s", status)
-	}
 	for _, q := range sheets {
 		if violation := f.twice(q); violation != "" {
 			return violation, nil
--- a/review/second/rig.go
+++ b/review/second/rig.go
@@ -45,24 +45,18 @@
 // sleepUntil waits until a time.
 func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
 
-// freeAddr returns a loopback address whose port is free.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
-// freeAddrs returns n loopback addresses whose ports are free.
+// freeAddrs returns n addresses whose ports are free, on a loopback host of this run. No outgoing connection has that host as its source,
+// so none takes such a port before a process listens on it.
 func freeAddrs(n int) (addrs []string, err error) {
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f)
 	for range n {
-		addr, err := freeAddr()
+		ln, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			return nil, err
 		}
-		addrs = append(addrs, addr)
+		defer ln.Close() // all are held until the last is chosen, so they differ
+		addrs = append(addrs, ln.Addr().String())
 	}
 	return addrs, nil
 }
@@ -117,8 +111,8 @@
 	return p, nil
 }
 
-// server starts a server with the settings of deploy/scgi.json behind MessagePack-RPC at listen.
-func (r *rig) server(process, name, listen, interpreter string, edge object) (*process, error) {
+// server starts a server with the settings of deploy/scgi.json behind MessagePack-RPC at listen. Change, if it is not nil, changes settings.
+func (r *rig) server(process, name, listen, interpreter string, edge object, change func(settings object)) (*process, error) {
 	c, err := deployFile("scgi.json")
 	if err != nil {
 		return nil, err
@@ -127,6 +121,9 @@
 	delete(c, "snmp")
 	delete(c, "mgmt")
 	c["name"], c["listen"], c["vm"] = name, listen, interpreter
+	if change != nil {
+		change(c["settings"].(object))
+	}
 	config, err := r.write(process+".json", c)
 	if err != nil {
 		return nil, err
@@ -138,15 +135,23 @@
 	return r.start(process, "exec bin/silverpath serve --edge "+edgeFile, "LB_CONFIG="+config)
 }
 
-// router starts a router with the settings of deploy/router.json and deploy/route.json.
-func (r *rig) router(name, listen, cellMap string) (*process, error) {
+// routerConfig writes the configuration of a router, with the settings of deploy/router.json, and returns its path.
+func (r *rig) routerConfig(name, listen string, change func(settings object)) (string, error) {
 	c, err := deployFile("router.json")
 	if err != nil {
-		return nil, err
+		return "", err
 	}
 	delete(c, "scgi")
 	c["name"], c["listen"] = name, listen
-	config, err := r.write(name+".json", c)
+	if change != nil {
+		change(c["settings"].(object))
+	}
+	return r.write(name+".json", c)
+}
+
+// router starts a router with the settings of deploy/router.json and deploy/route.json.
+func (r *rig) router(name, listen, cellMap string, change func(settings object)) (*process, error) {
+	config, err := r.routerConfig(name, listen, change)
 	if err != nil {
 		return nil, err
 	}
--- a/review/second/window.go
+++ b/review/second/window.go
@@ -15,8 +15,8 @@
 )
 
 func init() {
-	cases["8"] = readLate
-	cases["9"] = forwardedLate
+	cases["read-late"] = readLate
+	cases["forwarded-late"] = forwardedLate
 }
 
 // application is a stand-in for an SCGI application server. It runs each request once, for a fixed time.
@@ -162,7 +162,7 @@
 // forwardedLate: a repeat reaches a router within the window, and the router forwards it after a pause. It gives it the time of the
 // forwarding, so the sheet runs again at its home.
 func forwardedLate(r *rig) (string, error) {
-	f, err := r.startFleet(tenants(), inCell)
+	f, err := r.startFleet(plan{tenants: tenants()})
 	if err != nil {
 		return "", err
 	}
