--- a/review/second/interpreter.go
+++ b/review/second/interpreter.go
@@ -99,8 +99,8 @@
 		i.active++
 		i.runs[string(body)]++
 		run := i.runs[string(body)]
-		i.rig.note("run      %d of body %q begins at interpreter %s (%s, job %s)", run, body, i.name, c.Kind, c.Job)
-		time.AfterFunc(i.work, func() { i.end(c.Job, fmt.Sprintf("result of run %d of %s at %s", run, body, i.name)) })
+		i.rig.note("run      %d of body %q begins at the interpreter %s (%s, job %s)", run, body, i.name, c.Kind, c.Job)
+		time.AfterFunc(i.work, func() { i.end(c.Job, fmt.Sprintf("result of run %d of %s by the interpreter %s", run, body, i.name)) })
 	case "TOP":
 		busy := min(1, float64(i.active)/6)
 		i.send(fmt.Sprintf(`{"type":"TOPS","ref":%q,"gauges":[%.2f,%d,0.1,1]}`, c.Ref, busy, i.active))
--- a/review/second/rig.go
+++ b/review/second/rig.go
@@ -112,7 +112,7 @@
 }
 
 // server starts a server with the settings of deploy/scgi.json behind MessagePack-RPC at listen. Change, if it is not nil, changes settings.
-func (r *rig) server(process, name, listen, interpreter string, edge object, change func(settings object)) (*process, error) {
+func (r *rig) server(process, name, listen, interpreter string, edge object, change func(settings object), env ...string) (*process, error) {
 	c, err := deployFile("scgi.json")
 	if err != nil {
 		return nil, err
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return r.start(process, "exec bin/silverpath serve --edge "+edgeFile, "LB_CONFIG="+config)
+	return r.start(process, "exec bin/silverpath serve --edge "+edgeFile, append(env, "LB_CONFIG="+config)...)
 }
 
 // routerConfig writes the configuration of a router, with the settings of deploy/router.json, and returns its path.
