--- a/review/second/standby.go
+++ b/review/second/standby.go
@@ -26,6 +26,15 @@
 	return strings.TrimSpace(string(out)), nil
 }
 
+// importCopy imports a copy of the store of the server whose admin API is at mgmt for another server.
+func (r *rig) importCopy(mgmt, name string) error {
+	copied, err := r.command("store", "export", "--mgmt", mgmt)
+	if err == nil {
+		_, err = r.command("store", "import", "--from", copied, "--dir", r.path("keys-"+name), "--name", name)
+	}
+	return err
+}
+
 // earlyImport: a copy of a server's store is imported for a server that stands by. When that one takes over, the window in which it fails
 // unknown keys is over, as it counts from the import and not from the end of the first server.
 func earlyImport(r *rig) (string, error) {
@@ -50,11 +59,7 @@
 	if err := r.logged(s1, "phase serving", 10*time.Second); err != nil {
 		return "", err
 	}
-	copied, err := r.command("store", "export", "--mgmt", addrs[2])
-	if err != nil {
-		return "", err
-	}
-	if _, err := r.command("store", "import", "--from", copied, "--dir", r.path("keys-s2"), "--name", "s2"); err != nil {
+	if err := r.importCopy(addrs[2], "s2"); err != nil {
 		return "", err
 	}
 	importedAt := time.Now()
