--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x bin/silverpath ] && [ -x bin/review-second ] || { echo "build first" >&2; exit 2; }
-exec bin/review-second named-tenant review/7/record.txt
+exec bin/review-second named-tenant >review/7/record.txt
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -1,6 +1,6 @@
 // Command second runs the cases of the second review. It starts the project's programs as separate processes on loopback addresses, plays
-// their clients, interpreters and application servers, and writes what was sent, answered and run to a record. It exits with 1 if the rule
-// of the case was broken, with 0 if it held, and with 2 if the case could not run.
+// their clients and interpreters, and prints what was sent, answered and run: the record of the case. It exits with 1 if the rule of the
+// case was broken, with 0 if it held, and with 2 if the case could not run.
 package main
 
 import (
@@ -27,28 +27,22 @@
 )
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: second CASE RECORD")
+	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: second CASE")
 		os.Exit(cannotRun)
 	}
-	os.Exit(run(cases[os.Args[1]], os.Args[2]))
+	os.Exit(run(cases[os.Args[1]]))
 }
 
 // run runs a case in a temporary folder and ends all processes that it started.
-func run(play func(*rig) (string, error), record string) int {
+func run(play func(*rig) (string, error)) int {
 	dir, err := os.MkdirTemp("", "second")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return cannotRun
 	}
 	defer func() { _ = os.RemoveAll(dir) }() // what is left is in a temporary folder
-	file, err := os.Create(record)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return cannotRun
-	}
-	defer file.Close()
-	r := &rig{dir: dir, record: file, startedAt: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
+	r := &rig{dir: dir, startedAt: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
 	defer r.endAll()
 	type outcome struct {
 		violation string
@@ -69,16 +63,16 @@
 	case <-interrupted:
 		o.err = errors.New("interrupted")
 	}
+	verdict, code := "held", held
 	switch {
 	case o.err != nil:
-		r.note("the case could not run: %v", o.err)
-		return cannotRun
+		verdict, code = fmt.Sprintf("the case could not run: %v", o.err), cannotRun
 	case o.violation != "":
-		r.note("BROKEN: %s", o.violation)
-		return broken
+		verdict, code = "BROKEN: "+o.violation, broken
 	}
-	r.note("held")
-	return held
+	r.note("%s", verdict)
+	fmt.Fprintln(os.Stderr, verdict)
+	return code
 }
 
 // path returns the path of a file in the case's temporary folder.
