--- a/internal/policy/cells/cells_test.go
+++ b/internal/policy/cells/cells_test.go
@@ -1,6 +1,7 @@
 package cells
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"slices"
@@ -107,6 +108,112 @@
 	}
 }
 
+// A tenant that gets an entry of its own stays where the default entry placed it, by whatever form of entry. Otherwise a keyed request
+// and its repeat would run in two cells (review/7).
+func TestNamedTenantStaysWhereItLives(t *testing.T) {
+	overlap := fleet(12).OverlapWindow()
+	ms := func(after time.Duration) int64 { return t0.Add(after).UnixMilli() }
+	longAgo, recently, soon, announced := ms(-24*time.Hour), ms(-overlap+time.Millisecond), ms(4*time.Second), ms(6*time.Second)
+	for name, c := range map[string]struct {
+		unnamed, named []Home
+		want           string
+	}{
+		"first home of the unnamed":        {[]Home{{Cell: "b"}, {Cell: "a", Since: longAgo}}, []Home{{Cell: "b"}}, "tenants[4].homes[0]: a tenant that is named anew begins where the unnamed live: in cell \"a\""},
+		"present home of the unnamed":      {[]Home{{Cell: "b"}, {Cell: "a", Since: longAgo}}, []Home{{Cell: "a"}}, ""},
+		"present home with its time":       {[]Home{{Cell: "b"}, {Cell: "a", Since: longAgo}}, []Home{{Cell: "a", Since: longAgo}}, ""},
+		"all homes of the unnamed":         {[]Home{{Cell: "b"}, {Cell: "a", Since: longAgo}}, []Home{{Cell: "b"}, {Cell: "a", Since: longAgo}}, ""},
+		"compacted homes of the unnamed":   {[]Home{{Cell: "a", Since: longAgo}}, []Home{{Cell: "a"}}, ""},
+		"another shard":                    {[]Home{{Cell: "a", ShardSize: 2}}, []Home{{Cell: "a"}}, "tenants[4].homes[0]: a tenant that is named anew begins where the unnamed live: in cell \"a\" with shard 2"},
+		"former home left out too early":   {[]Home{{Cell: "b"}, {Cell: "a", Since: recently}}, []Home{{Cell: "a"}}, "tenants[4].homes[0]: a tenant that is named anew begins where the unnamed live: in cell \"b\""},
+		"former home kept":                 {[]Home{{Cell: "b"}, {Cell: "a", Since: recently}}, []Home{{Cell: "b"}, {Cell: "a", Since: recently}}, ""},
+		"another time of the move":         {[]Home{{Cell: "b"}, {Cell: "a", Since: recently}}, []Home{{Cell: "b"}, {Cell: "a", Since: recently + 1}}, "tenants[4].homes[0]: a tenant that is named anew"},
+		"move of the unnamed left out":     {[]Home{{Cell: "b"}, {Cell: "a", Since: soon}}, []Home{{Cell: "b"}}, "tenants[4].homes[0]: a tenant that is named anew begins where the unnamed live: in cell \"a\""},
+		"announced move may be left out":   {[]Home{{Cell: "b"}, {Cell: "a", Since: announced}}, []Home{{Cell: "b"}}, ""},
+		"move of its own in time":          {[]Home{{Cell: "b"}, {Cell: "a", Since: longAgo}}, []Home{{Cell: "a"}, {Cell: "c", Since: announced}}, ""},
+		"move of its own at once":          {[]Home{{Cell: "b"}, {Cell: "a", Since: longAgo}}, []Home{{Cell: "a"}, {Cell: "c", Since: soon}}, "tenants[4].homes[1]: a tenant that is named anew begins where the unnamed live: in cell \"a\""},
+		"only home in the future":          {[]Home{{Cell: "b"}}, []Home{{Cell: "c", Since: announced}}, "tenants[4].homes[0]: a tenant that is named anew"},
+		"time of the only home is ignored": {[]Home{{Cell: "b", Since: announced}}, []Home{{Cell: "b"}}, ""},
+	} {
+		old, m := fleet(12), fleet(12)
+		old.Tenants[3].Homes, m.Tenants[3].Homes = c.unnamed, c.unnamed
+		m.Version = 2
+		m.Tenants = append(m.Tenants, Tenant{"new", 1, c.named})
+		if err := errors.Join(old.Check(), m.Check()); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		joinedOld, err := Join(nil, partsOf(old))
+		if err != nil {
+			t.Fatal(err)
+		}
+		joined, err := Join(joinedOld, changedParts(old, m))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := m.Follows(old, t0); c.want == "" && err != nil || c.want != "" && (err == nil || !strings.HasPrefix(err.Error(), c.want)) {
+			t.Errorf("%s: %v, want %q", name, err, c.want)
+		}
+		if err := joined.Follows(joinedOld, t0); (err == nil) != (c.want == "") {
+			t.Errorf("%s, in parts: %v, want %q", name, err, c.want)
+		}
+		if c.want != "" {
+			continue
+		}
+		for back := time.Duration(0); back < overlap; back += 97 * time.Millisecond {
+			was, _ := old.Route(t0.Add(-back), "new", "key")
+			if r, ok := m.Route(t0, "new", "key"); !ok || r.Home != was.Home && !slices.Contains(r.FormerHomes, was.Home) {
+				t.Errorf("%s: %v before the change the home was %s, which is not asked: %+v", name, back, was.Home, r)
+			}
+		}
+	}
+}
+
+// A router that restarts with a map of last week refuses an entry that contradicts what it knows. It accepts one whose earlier homes were
+// left out since, and every entry if it can't send keyed requests by the old map any more.
+func TestNamedTenantAfterALongTime(t *testing.T) {
+	old := fleet(12)
+	old.Tenants[3].Homes = []Home{{Cell: "b"}, {Cell: "a", Since: t0.Add(-time.Hour).UnixMilli()}}
+	week := t0.Add(7 * 24 * time.Hour)
+	day := t0.Add(24 * time.Hour).UnixMilli()
+	for name, c := range map[string]struct {
+		homes []Home
+		want  bool
+	}{
+		"first home of the unnamed":   {[]Home{{Cell: "b"}}, false},
+		"present home of the unnamed": {[]Home{{Cell: "a"}}, true},
+		"moved since":                 {[]Home{{Cell: "a"}, {Cell: "c", Since: day}}, true},
+		"moved since, compacted":      {[]Home{{Cell: "c", Since: day}}, true},
+		"moved without a time":        {[]Home{{Cell: "c"}}, false},
+		"only home just now":          {[]Home{{Cell: "c", Since: week.UnixMilli() - 1}}, false},
+	} {
+		m := deepCopy(old)
+		m.Version++
+		m.Tenants = append(m.Tenants, Tenant{"new", 1, c.homes})
+		if err := m.FollowsLate(old, t0, week); (err == nil) != c.want {
+			t.Errorf("%s: %v, want accepted: %v", name, err, c.want)
+		}
+		if err := m.FollowsLate(old, time.Time{}, week); err != nil {
+			t.Errorf("%s, outdated: %v", name, err)
+		}
+	}
+}
+
+// The only home of an entry applies whatever its time is, so a map can't replace it at once even if that time is still to come.
+func TestOnlyHomeOfAnEntryStays(t *testing.T) {
+	announced := t0.Add(time.Minute).UnixMilli()
+	for name, homes := range map[string][]Home{
+		"replaced":         {{Cell: "b", Since: announced + 1}},
+		"another is ahead": {{Cell: "b", Since: announced - 1}, {Cell: "a", Since: announced}},
+	} {
+		old, m := fleet(12), fleet(12)
+		m.Version = 2
+		old.Tenants[0].Homes, m.Tenants[0].Homes = []Home{{Cell: "a", Since: announced}}, homes
+		want := `tenants[0].homes[0]: "kvizmojster" moves from "a" to "b" without notice`
+		if err := m.Follows(old, t0); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", name, err, want)
+		}
+	}
+}
+
 // A move passes through its states by the time alone. Former homes are asked for a key as long as its request may be repeated. An abort
 // halfway does the same in the opposite direction.
 func TestMigration(t *testing.T) {
--- a/internal/policy/cells/diff.go
+++ b/internal/policy/cells/diff.go
@@ -73,6 +73,9 @@
 		previous := d.oldIndex.tenant(t.Name)
 		if previous == nil {
 			d.addLine("tenant %q: new in cell %s", t.Name, t.Homes[0].Cell)
+			for _, h := range t.Homes[1:] {
+				d.addLine("tenant %q: to cell %s at %d", t.Name, h.Cell, h.Since)
+			}
 			continue
 		}
 		if previous.Rate != t.Rate {
--- a/internal/policy/cells/follow.go
+++ b/internal/policy/cells/follow.go
@@ -67,19 +67,8 @@
 
 // checkTenants checks the tenants that differ between the maps.
 func (t *transition) checkTenants() error {
-	defaultTenant := t.oldIndex.tenant("")
 	for pos, tenant := range t.to.tenantsNotIn(t.oldIndex) {
-		previous := t.oldIndex.tenant(tenant.Name)
-		if err := t.checkNewHomes(pos, tenant, previous); err != nil {
-			return err
-		}
-		if previous == nil {
-			if defaultTenant != nil && tenant.Homes[0] != defaultTenant.Homes[0] {
-				return fmt.Errorf("%v.homes[0]: a tenant that is named anew begins where the unnamed live", pos)
-			}
-			continue
-		}
-		if err := t.checkOldHomes(pos, tenant, previous); err != nil {
+		if err := t.checkTenant(pos, tenant); err != nil {
 			return err
 		}
 	}
@@ -91,6 +80,80 @@
 	return nil
 }
 
+// checkTenant checks one tenant of the new map against the entry that applied to it in the old one: its own, or else the default entry.
+func (t *transition) checkTenant(pos position, tenant *Tenant) error {
+	previous := t.oldIndex.tenant(tenant.Name)
+	if previous == nil {
+		if defaultTenant := t.oldIndex.tenant(""); defaultTenant != nil {
+			return t.checkNamed(pos, tenant, defaultTenant)
+		}
+		return t.checkNewHomes(pos, tenant, nil)
+	}
+	if err := t.checkNewHomes(pos, tenant, previous); err != nil {
+		return err
+	}
+	if err := t.checkOldHomes(pos, tenant, previous); err != nil {
+		return err
+	}
+	if j, at, moved := t.firstMove(previous, tenant); moved {
+		return fmt.Errorf("%v.homes[%d]: %q moves from %q to %q without notice, at %d", pos, j, tenant.Name,
+			previous.homeAt(at).Cell, tenant.Homes[j].Cell, at)
+	}
+	return nil
+}
+
+// checkNamed checks a tenant that was served by the default entry and gets an entry of its own. The new entry may leave out homes that
+// have ended, or give their times otherwise, as long as it moves no key that has run.
+func (t *transition) checkNamed(pos position, tenant, defaultTenant *Tenant) error {
+	if j, at, moved := t.firstMove(defaultTenant, tenant); moved {
+		home := defaultTenant.homeAt(at)
+		return fmt.Errorf("%v.homes[%d]: a tenant that is named anew begins where the unnamed live: in cell %q with shard %d at %d",
+			pos, j, home.Cell, home.ShardSize, at)
+	}
+	return nil
+}
+
+// firstMove returns the earliest time at which a new entry of a tenant places it elsewhere than the previous entry does, with the index of
+// the new entry's home at that time. It considers the times of comparedFrom and later, up to the earliest at which a change may take effect.
+func (t *transition) firstMove(previous, updated *Tenant) (home int, at int64, moved bool) {
+	from, comparable := t.comparedFrom(updated)
+	if !comparable {
+		return 0, 0, false
+	}
+	times := []int64{from}
+	for _, entry := range []*Tenant{previous, updated} {
+		for _, h := range entry.Homes[1:] {
+			if h.Since > from {
+				times = append(times, h.Since)
+			}
+		}
+	}
+	slices.Sort(times)
+	for _, at := range times {
+		if at >= t.earliest {
+			break
+		}
+		was, is := previous.homeAt(at), updated.homeAt(at)
+		if was.Cell != is.Cell || was.ShardSize != is.ShardSize {
+			return slices.Index(updated.Homes, is), at, true
+		}
+	}
+	return 0, 0, false
+}
+
+// comparedFrom returns the time, in Unix milliseconds, from which a new entry of a tenant is compared with the previous one: from then on
+// keyed requests may still be repeated. If the old map was last confirmed longer ago, the time is the last at which it was surely in force.
+// Comparable is false if there is no such time, or if the new entry begins after it, because a map in between moved the tenant and
+// a later one left out its former homes.
+func (t *transition) comparedFrom(updated *Tenant) (from int64, comparable bool) {
+	if t.earliest > t.retainedFrom {
+		return t.retainedFrom, true
+	}
+	begins := updated.Homes[0].Since
+	compacted := begins >= t.earliest && begins < t.retainedFrom
+	return t.earliest - 1, t.earliest > 0 && !compacted
+}
+
 // checkNewHomes checks that a tenant's new homes are announced early enough. A tenant that the old map did not list may have had its
 // first home from the start.
 func (t *transition) checkNewHomes(pos position, tenant, previous *Tenant) error {
--- a/internal/policy/cells/parts_test.go
+++ b/internal/policy/cells/parts_test.go
@@ -61,6 +61,13 @@
 	retainedFrom := now.Add(-m.OverlapWindow()).UnixMilli()
 	for i, t := range m.Tenants {
 		previous := referenceTenant(old, t.Name, true)
+		if defaultTenant := referenceTenant(old, t.Name, false); previous == nil && defaultTenant != nil {
+			if at, j, was := referenceMove(defaultTenant, &t, retainedFrom, earliest); at > 0 {
+				return fmt.Errorf("tenants[%d].homes[%d]: a tenant that is named anew begins where the unnamed live: in cell %q with shard %d at %d",
+					i, j, was.Cell, was.ShardSize, at)
+			}
+			continue
+		}
 		for j, h := range t.Homes {
 			existed := previous != nil && slices.Contains(previous.Homes, h)
 			if !existed && h.Since < earliest && (j != 0 || previous != nil || h.Since != 0) {
@@ -68,9 +75,6 @@
 			}
 		}
 		if previous == nil {
-			if defaultTenant := referenceTenant(old, t.Name, false); defaultTenant != nil && t.Homes[0] != defaultTenant.Homes[0] {
-				return fmt.Errorf("tenants[%d].homes[0]: a tenant that is named anew begins where the unnamed live", i)
-			}
 			continue
 		}
 		for j, h := range previous.Homes {
@@ -79,6 +83,9 @@
 				return fmt.Errorf("tenants[%d].homes: %q was in %q, which can't be undone: append a home", i, t.Name, h.Cell)
 			}
 		}
+		if at, j, was := referenceMove(previous, &t, retainedFrom, earliest); at > 0 {
+			return fmt.Errorf("tenants[%d].homes[%d]: %q moves from %q to %q without notice, at %d", i, j, t.Name, was.Cell, t.Homes[j].Cell, at)
+		}
 	}
 	for _, t := range old.Tenants {
 		if referenceTenant(m, t.Name, true) == nil {
@@ -106,6 +113,40 @@
 	return nil
 }
 
+// referenceHome returns the index of an entry's home at a time.
+func referenceHome(t *Tenant, at int64) int {
+	for j := len(t.Homes) - 1; j > 0; j-- {
+		if t.Homes[j].Since <= at {
+			return j
+		}
+	}
+	return 0
+}
+
+// referenceMove returns the earliest time at which two entries have different homes, the index of the later entry's home then and the
+// earlier entry's home. The time is 0 if there is none. Homes change only where one of them begins. If nothing that may be repeated ran
+// before the given times, the entries are compared at the last millisecond before a change may take effect.
+func referenceMove(was, is *Tenant, retainedFrom, effective int64) (earliest int64, home int, wasIn Home) {
+	times := []int64{retainedFrom}
+	for _, h := range slices.Concat(was.Homes, is.Homes) {
+		times = append(times, h.Since)
+	}
+	if effective <= retainedFrom {
+		if first := is.Homes[0].Since; first >= effective && first < retainedFrom {
+			return 0, 0, Home{}
+		}
+		retainedFrom, times = effective-1, []int64{effective - 1}
+	}
+	for _, at := range times {
+		a, b := was.Homes[referenceHome(was, at)], is.Homes[referenceHome(is, at)]
+		differ := a.Cell != b.Cell || a.ShardSize != b.ShardSize
+		if differ && at >= retainedFrom && at < effective && (earliest == 0 || at < earliest) {
+			earliest, home, wasIn = at, referenceHome(is, at), a
+		}
+	}
+	return earliest, home, wasIn
+}
+
 func referenceDiff(old, m *Map) []string {
 	var lines []string
 	addLine := func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
@@ -138,6 +179,9 @@
 		previous := referenceTenant(old, t.Name, true)
 		if previous == nil {
 			addLine("tenant %q: new in cell %s", t.Name, t.Homes[0].Cell)
+			for _, h := range t.Homes[1:] {
+				addLine("tenant %q: to cell %s at %d", t.Name, h.Cell, h.Since)
+			}
 			continue
 		}
 		if previous.Rate != t.Rate {
@@ -320,6 +364,11 @@
 		}
 		m.Tenants = append(m.Tenants, tenant)
 	}
+	defaultTenant := referenceTenant(m, "", true)
+	for n := range rapid.IntRange(0, 2).Draw(t, "moves of the default entry") {
+		since := t0.UnixMilli() + int64(n*20000+rapid.IntRange(-39000, 0).Draw(t, "since"))
+		defaultTenant.Homes = append(defaultTenant.Homes, Home{Cell: m.Cells[n].Name, Since: since})
+	}
 	if rapid.Bool().Draw(t, "no default entry") {
 		m.Tenants = slices.DeleteFunc(m.Tenants, func(t Tenant) bool { return t.Name == "" })
 	}
@@ -386,7 +435,12 @@
 		i := pick(len(m.Tenants))
 		m.Tenants = slices.Delete(m.Tenants, i, i+1)
 	case kind == 11:
-		m.Tenants = append(m.Tenants, Tenant{fmt.Sprint("t", rapid.IntRange(0, 60).Draw(t, "name")), 1, []Home{{Cell: drawCell()}}})
+		homes := []Home{{Cell: drawCell()}}
+		if defaultTenant := referenceTenant(m, "", true); defaultTenant != nil && pick(4) > 0 {
+			homes = slices.Clone(defaultTenant.Homes[pick(len(defaultTenant.Homes)):])
+			homes[0].Since *= int64(pick(2))
+		}
+		m.Tenants = append(m.Tenants, Tenant{fmt.Sprint("t", rapid.IntRange(0, 60).Draw(t, "name")), 1, homes})
 	case kind == 12 && len(m.Tenants) > 0:
 		m.Tenants[pick(len(m.Tenants))].Rate = float64(pick(9) - 1)
 	case kind >= 13 && len(m.Tenants) > 0:
