The bodies of all requests together stay within an eighth of the memory

Cause: the SCGI front allocated a body at its stated size before its first byte; connections and the size of a body were bounded, not their product, neither while bodies were read nor while requests waited and ran. Each request in flight on the platform's front kept the map of all fields that it was sent, up to 64 KiB. Calls between processes allocated up to 1 MiB on a stated length.

Fix: admission.BodyBudget counts the bytes of bodies over 8 KiB from their arrival until their requests are over, whatever the number of connections. Bodies are read in growing steps. Without room: 503, or 502 for an idempotent class, as it may be a retry. The front keeps the nineteen fields that it reads. A router's SCGI front accepts what servers accept, 2 KiB.

--- a/internal/service/budget.go
+++ b/internal/service/budget.go
@@ -7,6 +7,7 @@
 	"silverpath/internal/settings"
 	"silverpath/internal/transport/admin"
 	"silverpath/internal/transport/listener"
+	"silverpath/internal/transport/msgpackrpc"
 )
 
 // softMemoryRatio is the fraction of limits.memory_mb that the Go runtime gets as its soft memory limit. Above that limit the garbage
@@ -14,6 +15,24 @@
 // buffers.
 const softMemoryRatio = 0.6
 
+// bodyMemoryDivisor is the part of limits.memory_mb that request bodies may take. A running request holds its body up to four times, as it is
+// encoded for the interpreter, so the part has to be small.
+const bodyMemoryDivisor = 8
+
+// bodyMemory returns the memory of a process for request bodies, in bytes.
+func bodyMemory(cfg settings.Config) int { return int(cfg.MemoryMB * (1 << 20) / bodyMemoryDivisor) }
+
+// scgiConfig returns the settings of the SCGI front, whose largest body is limited to what the process has memory for and, for a router,
+// to what servers accept.
+func scgiConfig(cfg settings.Config) settings.SCGI {
+	front := cfg.SCGI
+	front.MaxBody = min(front.MaxBody, bodyMemory(cfg))
+	if cfg.Edge.Router != nil {
+		front.MaxBody = min(front.MaxBody, msgpackrpc.MaxBodyBytes)
+	}
+	return front
+}
+
 // reservedDescriptors is the number of descriptors of limits.sockets that are reserved for logs, listening sockets, the links and
 // the Go runtime.
 const reservedDescriptors = 16
@@ -77,6 +96,7 @@
 		processes = 2
 	}
 	debug.SetMemoryLimit(softMemoryLimit(s.cfg) / int64(processes))
+	s.bodies.SetLimit(bodyMemory(s.cfg) / processes)
 	events.Log(s.log, "hotrestart.limits_shared", processes)
 	for _, budget := range s.listenerBudgets {
 		go budget.ln.SetMaxConnections(budget.maxConns / processes)
--- a/internal/service/open.go
+++ b/internal/service/open.go
@@ -67,7 +67,7 @@
 	if cfg.SCGI.Listen == "" {
 		return nil
 	}
-	front := scgi.New(s.core, cfg.SCGI, cfg.Seed, s.log, s.stats)
+	front := scgi.New(s.core, scgiConfig(cfg), s.bodies, cfg.Seed, s.log, s.stats)
 	return s.listen("scgi.listen", scgi.Name, cfg.SCGI.Listen, b.SCGI, front.Serve)
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -21,6 +21,7 @@
 	"silverpath/internal/controlplane/configwatch"
 	"silverpath/internal/core"
 	"silverpath/internal/metrics"
+	"silverpath/internal/policy/admission"
 	"silverpath/internal/policy/configstore"
 	"silverpath/internal/policy/recovery"
 	"silverpath/internal/proxy"
@@ -56,6 +57,7 @@
 	// Fronts. The SNMP agent and the admin API are nil if no address is configured for them.
 	listeners       []*listener.Listener
 	listenerBudgets []listenerBudget // same order as listeners
+	bodies          *admission.BodyBudget
 	snmpAgent       *snmp.Agent
 	admin           *admin.Server
 
@@ -101,7 +103,7 @@
 func openWithRetry(cfg settings.Config, l *log.Logger, hooks Hooks, retryFor time.Duration, shutdown <-chan struct{}) (*Service, error) {
 	s := &Service{
 		cfg: cfg, hooks: hooks, log: l, stats: &metrics.Counters{}, exitMargin: exitMargin, drainDelay: drainDelay(cfg),
-		addressRetryUntil: time.Now().Add(retryFor), shutdown: shutdown, openedAt: time.Now(),
+		addressRetryUntil: time.Now().Add(retryFor), shutdown: shutdown, openedAt: time.Now(), bodies: admission.NewBodyBudget(bodyMemory(cfg)),
 	}
 	s.windows = s.windows.Change(0, classWindows(cfg.Server.Classes))
 	build := s.buildServer
--- a/internal/testkit/conformance/rules_test.go
+++ b/internal/testkit/conformance/rules_test.go
@@ -90,7 +90,7 @@
 }, {
 	name: "scgi",
 	serve: func(s *testService) listener.Handler {
-		return scgi.New(s.core, settings.SCGI{MaxBody: 2048, RequestKB: 20}, 1, s.log, s.stats).Serve
+		return scgi.New(s.core, settings.SCGI{MaxBody: 2048, RequestKB: 20}, admission.NewBodyBudget(1<<20), 1, s.log, s.stats).Serve
 	},
 	write: func(t attempt, _ int) []byte {
 		headers := []string{"REQUEST_METHOD", "POST", "PATH_INFO", "/" + t.class, "HTTP_X_TENANT", "acme",
--- a/internal/transport/msgpackrpc/calls.go
+++ b/internal/transport/msgpackrpc/calls.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"silverpath/internal/metrics"
+	"silverpath/internal/policy/admission"
 	"silverpath/internal/transport/bufferpool"
 	"silverpath/internal/transport/listener"
 )
@@ -25,6 +26,8 @@
 	MaxCallBody = 1 << 20
 	// maxCallsInFlight is the largest number of calls in flight on a connection: twice the caller's MaxInFlight.
 	maxCallsInFlight = 64
+	// callBodyMemory bounds the memory of the bodies of all calls of a CallServer, in bytes. It holds sixty of the largest.
+	callBodyMemory = 64 << 20
 )
 
 // Call is one request between processes.
@@ -50,12 +53,13 @@
 	name   string
 	stats  *metrics.Counters
 	handle CallHandler
+	bodies *admission.BodyBudget
 }
 
 // NewCallServer returns a server that passes calls to handle. Name labels its counters and log lines. Serve is the Handler to give to a
 // listener.
 func NewCallServer(name string, stats *metrics.Counters, handle CallHandler) *CallServer {
-	return &CallServer{name, stats, handle}
+	return &CallServer{name, stats, handle, admission.NewBodyBudget(callBodyMemory)}
 }
 
 // callConn is one connection from another process.
@@ -83,6 +87,8 @@
 		cancel() // the caller has closed the connection
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		s.stats.Inc("too_slow", s.name)
+	case errors.Is(err, bufferpool.ErrNoMemory):
+		s.stats.Inc("turned_away", s.name, "body_memory")
 	case errors.Is(err, errMalformed):
 		s.stats.Inc("malformed", s.name)
 		slot.LogPeer("listener.connection_closed", s.name, conn.RemoteAddr(), err)
@@ -100,37 +106,47 @@
 			return err
 		}
 		c.conn.SetReadDeadline(time.Now().Add(listener.MessageTimeout))
+		d.reservation = c.bodies.Reserve()
 		m, err := d.message()
 		if err != nil {
+			d.reservation.Release()
 			return err
 		}
 		c.conn.SetReadDeadline(time.Time{})
 		if !c.slot.BeginMessage() {
+			d.reservation.Release()
 			return nil
 		}
-		if m.kind == request && m.method != methodProbe { // a probe or notification comes from a misdirected balancer and is ignored
-			if err := c.startCall(ctx, m); err != nil {
-				return err
-			}
+		if err := c.startCall(ctx, m, d.reservation.Release); err != nil {
+			return err
 		}
 		c.slot.EndMessage()
 	}
 }
 
-// startCall passes a call to the handler and starts a goroutine that completes it and writes its result. It returns an error if the
-// connection has more than maxCallsInFlight calls.
-func (c *callConn) startCall(ctx context.Context, m message) error {
+// startCall passes a call to the handler and starts a goroutine that completes it and writes its result. It calls onOver once the message's
+// body is not used any more. It returns an error if the connection has more than maxCallsInFlight calls.
+func (c *callConn) startCall(ctx context.Context, m message, onOver func()) error {
+	if m.kind != request || m.method == methodProbe { // a probe or notification comes from a misdirected balancer and is ignored
+		onOver()
+		return nil
+	}
 	c.mu.Lock()
 	c.inFlight++
 	inFlight := c.inFlight
 	c.slot.SetInFlight(inFlight)
 	c.mu.Unlock()
 	if inFlight > maxCallsInFlight {
+		onOver()
 		return malformed("too many calls in flight: %d", inFlight)
 	}
 	c.stats.Inc("words", c.name, m.method)
 	finish := c.handle(ctx, Call{m.method, m.fields, m.body})
-	c.pending.Go(func() { c.writeResult(m.id, finish()) })
+	c.pending.Go(func() {
+		result := finish()
+		onOver()
+		c.writeResult(m.id, result)
+	})
 	return nil
 }
 
--- a/internal/transport/msgpackrpc/decode.go
+++ b/internal/transport/msgpackrpc/decode.go
@@ -6,6 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"silverpath/internal/policy/admission"
+	"silverpath/internal/transport/bufferpool"
 )
 
 // errMalformed is the error for input that violates the protocol or exceeds a bound. The connection is closed after it.
@@ -32,7 +35,12 @@
 	r             *bufio.Reader
 	statusEnabled bool // StatusMethod is handled as a method, not as a class
 	inCell        bool // probes come from routers and may have fields
-	maxBody       int  // largest body, in bytes; 0: defaultMaxBodyBytes
+	maxBody       int  // largest body, in bytes; 0: MaxBodyBytes
+	// reservation is the memory that a body over bufferpool.Size needs; nil: bodies are smaller.
+	reservation *admission.BodyReservation
+	// keepField reports whether a field is kept. The values of other fields are checked and dropped, so that a peer can't make a request
+	// hold memory for fields that nobody reads. Nil: all are kept.
+	keepField func(name string) bool
 	// rejects reports whether every request of a class is rejected, so that its fields and body need not be decoded. Nil: none is.
 	rejects func(class string) bool
 }
@@ -67,7 +75,7 @@
 	if d.maxBody > 0 {
 		return d.maxBody
 	}
-	return defaultMaxBodyBytes
+	return MaxBodyBytes
 }
 
 // array reads the header of an array and returns its length.
@@ -127,9 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := make([]byte, n)
-	_, err = io.ReadFull(d.r, v)
-	return v, err
+	return bufferpool.ReadBody(d.r, n, d.reservation)
 }
 
 // str reads a string of at most maxStringBytes bytes. The parameter what names the value in errors.
@@ -156,15 +162,19 @@
 	if err != nil {
 		return nil, err
 	}
-	m := make(map[string]string, n)
+	m := make(map[string]string, min(n, maxAttemptFields/2))
 	for range n {
 		key, err := d.str("field name")
 		if err != nil {
 			return nil, err
 		}
-		if m[key], err = d.str("field"); err != nil {
+		value, err := d.str("field")
+		if err != nil {
 			return nil, err
 		}
+		if d.keepField == nil || d.keepField(key) {
+			m[key] = value
+		}
 	}
 	return m, nil
 }
--- a/internal/transport/msgpackrpc/decode_test.go
+++ b/internal/transport/msgpackrpc/decode_test.go
@@ -17,7 +17,7 @@
 var validMessages = [][]byte{
 	AppendRequest(nil, 7, "oddaja", []byte("a\x00b"), "i", "9b1f03aa5c7e2d41", "s", "1764576000123", "f", "4", "t", "acme",
 		"d", "480", "m", "24.5", "p", "0.6250", "k", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"),
-	AppendRequest(nil, 70000, "lestvica", bytes.Repeat([]byte{0xc1}, defaultMaxBodyBytes), "i", "0", "s", "1", "d", "1", "m", "1"),
+	AppendRequest(nil, 70000, "lestvica", bytes.Repeat([]byte{0xc1}, MaxBodyBytes), "i", "0", "s", "1", "d", "1", "m", "1"),
 	AppendProbe(nil, 1<<40),
 	AppendCancel(nil, 300),
 	{0x94, 0, 0xd0, 5, 0xd9, 1, 'x', 0xdc, 0, 3, 0xde, 0, 0, 0xc6, 0, 0, 0, 0, 0x92, 0xca, 1, 2, 3, 4, 0x81, 0xa1, 'k', 0xc0},
@@ -62,7 +62,7 @@
 	"not an array":      {0x81, 0, 0},
 	"a response":        {0x94, 1, 1, 0xc0, 0xc0},
 	"a negative id":     {0x94, 0, 0xd0, 0xff, 0xa1, 'x', 0x90},
-	"a body too large":  AppendRequest(nil, 1, "x", make([]byte, defaultMaxBodyBytes+1)),
+	"a body too large":  AppendRequest(nil, 1, "x", make([]byte, MaxBodyBytes+1)),
 	"a length of 4 GiB": {0x94, 0, 1, 0xdb, 0xff, 0xff, 0xff, 0xff},
 	"a map of 4 G":      {0x94, 0, 1, 0xa1, 'x', 0x92, 0xdf, 0xff, 0xff, 0xff, 0xff},
 	"a number as field": {0x94, 0, 1, 0xa1, 'x', 0x92, 0x81, 0xa1, 'i', 5, 0xc4, 0},
@@ -92,7 +92,7 @@
 		for range 1 + rnd.IntN(4) {
 			b[rnd.IntN(len(b))] = byte(rnd.Uint32())
 		}
-		if m, err := decodeMessage(b); err == nil && len(m.body) > defaultMaxBodyBytes {
+		if m, err := decodeMessage(b); err == nil && len(m.body) > MaxBodyBytes {
 			t.Fatalf("body of %d bytes exceeds its bound", len(m.body))
 		}
 	}
@@ -109,7 +109,7 @@
 	f.Add(validMessages[0][:len(validMessages[0])/2])
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := decodeMessage(b)
-		if err == nil && (len(m.body) > defaultMaxBodyBytes || len(m.fields) > maxElements || len(m.method) > maxStringBytes) {
+		if err == nil && (len(m.body) > MaxBodyBytes || len(m.fields) > maxElements || len(m.method) > maxStringBytes) {
 			t.Fatal("message exceeds its bounds")
 		}
 	})
--- a/internal/transport/msgpackrpc/front.go
+++ b/internal/transport/msgpackrpc/front.go
@@ -58,7 +58,7 @@
 	if inCell {
 		slot.OnEvict(c.notifyLastTaken)
 	}
-	d := decoder{r: r, statusEnabled: f.core.ServesStatus(), inCell: inCell, rejects: func(class string) (rejected bool) {
+	d := decoder{r: r, statusEnabled: f.core.ServesStatus(), inCell: inCell, keepField: isServedField, rejects: func(class string) (rejected bool) {
 		c.skippedAnswer, rejected = f.core.RejectsUnread(Name, class)
 		return rejected
 	}}
--- a/internal/transport/msgpackrpc/request.go
+++ b/internal/transport/msgpackrpc/request.go
@@ -89,15 +89,18 @@
 		c.stats.Inc("turned_away", Name, "too_many_open")
 		c.writeAnswer(m.id, core.Answer{Outcome: core.Rejected, RetryAfter: c.core.RetryAfter()})
 	default:
-		requests.Add(1)
-		go func() {
-			defer requests.Done()
-			c.core.Serve(r, func(a core.Answer) { c.respond(m.id, r.ID, a) })
-		}()
+		c.start(m.id, r, requests)
 	}
 	return nil
 }
 
+// start passes a request to the core in a goroutine, which answers the message with the given id.
+func (c *frontConn) start(id uint64, r core.Request, requests *sync.WaitGroup) {
+	requests.Go(func() {
+		c.core.Serve(r, func(a core.Answer) { c.respond(id, r.ID, a) })
+	})
+}
+
 // mapRequest converts a message to a request of the core. BadField is the first field that is missing or out of bounds, core.ReasonBoot
 // for a request that is meant for another incarnation of this server, or empty if the request is valid.
 func mapRequest(m message, now time.Time, c *core.Core) (r core.Request, badField string) {
--- a/internal/transport/msgpackrpc/wire.go
+++ b/internal/transport/msgpackrpc/wire.go
@@ -69,6 +69,17 @@
 	FieldInFlight      = "fl" // number of the router's requests in flight at this server
 )
 
+// isServedField reports whether the front reads a field of a request or a probe.
+func isServedField(name string) bool {
+	switch name {
+	case fieldID, fieldReceivedAt, fieldTimeout, fieldMemory, fieldTenant, fieldKey, fieldObject, fieldRank, fieldCaller, fieldKnownOnly,
+		FieldIncarnation, FieldConfigID, FieldConfigSource, FieldLease, FieldClockSkew, FieldProbeInterval, FieldProbeTimeout,
+		FieldOverlapWindow, FieldInFlight:
+		return true
+	}
+	return false
+}
+
 // Fields of an answer. Answers also have FieldIncarnation.
 const (
 	FieldSignal         = "v"  // value set by the module: a load level, a credit of requests in flight, or a weight
@@ -85,18 +96,20 @@
 // FlagSet is the value of a flag field. An unset flag is left out.
 const FlagSet = "1"
 
+// MaxBodyBytes is the largest body of a request, as the platform defines it.
+const MaxBodyBytes = 2 << 10
+
 // Bounds on the content of a message. A message that exceeds one is malformed and closes its connection. Lengths are checked before
 // memory is allocated.
 const (
-	defaultMaxBodyBytes = 2 << 10          // bytes of a request's body, as the platform defines it
-	maxResultBytes      = 64 << 10         // bytes of a result
-	maxStringBytes      = 512              // bytes of a method, a field name or a field value
-	maxElements         = 64               // elements of an array, or pairs of a map
-	maxDepth            = 4                // nesting depth of a skipped value
-	maxTimeout          = time.Hour        // largest fieldTimeout; the platform's deadlines are a few seconds
-	maxProbeTime        = time.Hour        // largest time in a router's probe; a longer one is reduced to it
-	maxMemoryKB         = 2000             // fieldMemory must be below it
-	maxClockSkew        = 10 * time.Second // how far a balancer's clock may be ahead
+	maxResultBytes = 64 << 10         // bytes of a result
+	maxStringBytes = 512              // bytes of a method, a field name or a field value
+	maxElements    = 64               // elements of an array, or pairs of a map
+	maxDepth       = 4                // nesting depth of a skipped value
+	maxTimeout     = time.Hour        // largest fieldTimeout; the platform's deadlines are a few seconds
+	maxProbeTime   = time.Hour        // largest time in a router's probe; a longer one is reduced to it
+	maxMemoryKB    = 2000             // fieldMemory must be below it
+	maxClockSkew   = 10 * time.Second // how far a balancer's clock may be ahead
 )
 
 const (
--- a/internal/transport/scgi/front.go
+++ b/internal/transport/scgi/front.go
@@ -17,6 +17,7 @@
 	"silverpath"
 	"silverpath/internal/core"
 	"silverpath/internal/metrics"
+	"silverpath/internal/policy/admission"
 	"silverpath/internal/settings"
 	"silverpath/internal/transport/bufferpool"
 	"silverpath/internal/transport/linger"
@@ -57,13 +58,16 @@
 	log       *log.Logger
 	stats     *metrics.Counters
 	writeTime *metrics.Timing
+	bodies    *admission.BodyBudget
 	salt      uint64
 	seq       atomic.Uint64
 }
 
-// New returns an SCGI front for a core. The seed determines the request IDs. A listener calls Serve for each connection.
-func New(c *core.Core, cfg settings.SCGI, seed int64, l *log.Logger, s *metrics.Counters) *Front {
-	return &Front{core: c, cfg: cfg, log: l, stats: s, writeTime: s.Timing("write", Name), salt: rand.New(rand.NewPCG(uint64(seed), 1)).Uint64()}
+// New returns an SCGI front for a core. The seed determines the request IDs, and bodies bounds the memory of the bodies. A listener calls
+// Serve for each connection.
+func New(c *core.Core, cfg settings.SCGI, bodies *admission.BodyBudget, seed int64, l *log.Logger, s *metrics.Counters) *Front {
+	return &Front{core: c, cfg: cfg, log: l, stats: s, writeTime: s.Timing("write", Name), bodies: bodies,
+		salt: rand.New(rand.NewPCG(uint64(seed), 1)).Uint64()}
 }
 
 // newID returns a request ID of 16 hexadecimal digits that is unique in this front.
@@ -96,48 +100,90 @@
 	defer bufferpool.PutReader(r)
 	conn.SetReadDeadline(time.Now().Add(listener.MessageTimeout))
 	m, err := readHead(r)
-	if err == nil && f.isStatusRequest(m.headers) {
-		f.stats.Inc("status", Name)
-		slot.ThrottleCheapCall()
-		f.write(conn, statusOf[core.Served], f.core.Status(), "application/json", "Cache-Control", "no-store")
-		linger.Close(conn, r, lingerTimeout, maxLingerBytes)
+	if err == nil && f.answerByHead(conn, r, slot, m) {
 		return
 	}
-	maxBody := f.core.MaxBody(f.cfg.MaxBody)
-	if class, known := f.class(m.headers); err == nil && known {
-		if class.Effect == silverpath.Idempotent { // a retry of a request that has run is never rejected
-			maxBody = f.cfg.MaxBody
-		}
-		if a, rejected := f.rejectUnread(class, slot); rejected {
-			f.writeAnswer(conn, a)
-			if uint64(r.Buffered()) < m.bodySize { // otherwise the whole body has arrived, and a plain close causes no reset
-				linger.Close(conn, r, lingerTimeout, maxLingerBytes)
-			}
-			return
-		}
-	}
-	if err == nil {
-		err = m.readBody(r, maxBody)
-	}
+	reservation := f.bodies.Reserve()
 	var q core.Request
 	if err == nil {
-		q, err = f.mapRequest(m, time.Now(), conn.RemoteAddr())
+		q, err = f.readRequest(conn, r, m, reservation)
 	}
 	if err != nil {
+		reservation.Release()
 		f.reject(conn, r, slot, err)
 		return
 	}
 	if !slot.BeginMessage() {
+		reservation.Release()
 		return // the connection was evicted meanwhile, and the request never ran
 	}
 	conn.SetReadDeadline(time.Time{})
 	slot.SetInFlight(1)
-	f.awaitAnswer(conn, r, q, func() { // from here on the listener may evict the connection
+	f.awaitAnswer(conn, r, q, reservation.Release, func() { // from here on the listener may evict the connection
 		slot.SetInFlight(0)
 		slot.EndMessage()
 	})
 }
 
+// answerByHead answers a request that needs no body: a status request, or one that is rejected by its headers alone. It reports whether it
+// did.
+func (f *Front) answerByHead(conn net.Conn, r *bufio.Reader, slot *listener.Slot, m message) bool {
+	if f.isStatusRequest(m.headers) {
+		f.stats.Inc("status", Name)
+		slot.ThrottleCheapCall()
+		f.write(conn, statusOf[core.Served], f.core.Status(), "application/json", "Cache-Control", "no-store")
+		linger.Close(conn, r, lingerTimeout, maxLingerBytes)
+		return true
+	}
+	class, known := f.class(m.headers)
+	if !known {
+		return false
+	}
+	a, rejected := f.rejectUnread(class, slot)
+	if !rejected {
+		return false
+	}
+	f.writeAnswer(conn, a)
+	if uint64(r.Buffered()) < m.bodySize { // otherwise the whole body has arrived, and a plain close causes no reset
+		linger.Close(conn, r, lingerTimeout, maxLingerBytes)
+	}
+	return true
+}
+
+// readRequest reads the body of a request and converts it to a request of the core. If the reservation has no room for the body, the error
+// is a *memoryError.
+func (f *Front) readRequest(conn net.Conn, r *bufio.Reader, m message, reservation *admission.BodyReservation) (core.Request, error) {
+	class, known := f.class(m.headers)
+	idempotent := known && class.Effect == silverpath.Idempotent
+	maxBody := f.cfg.MaxBody
+	if !idempotent { // a retry of a request that has run is never rejected
+		maxBody = f.core.MaxBody(maxBody)
+	}
+	err := m.readBody(r, maxBody, reservation)
+	if errors.Is(err, bufferpool.ErrNoMemory) {
+		err = &memoryError{idempotent}
+	}
+	if err != nil {
+		return core.Request{}, err
+	}
+	return f.mapRequest(m, time.Now(), conn.RemoteAddr())
+}
+
+// memoryError is the error of a request whose body does not fit into the memory for bodies at the moment.
+type memoryError struct{ idempotent bool }
+
+// Error returns the reason for the log.
+func (e *memoryError) Error() string { return bufferpool.ErrNoMemory.Error() }
+
+// answer returns the answer to the request. An idempotent one may be the retry of a request that has run, so it fails and is not
+// rejected.
+func (e *memoryError) answer(retryAfter time.Duration) core.Answer {
+	if e.idempotent {
+		return core.Answer{Outcome: core.Failed}
+	}
+	return core.Answer{Outcome: core.Rejected, RetryAfter: retryAfter}
+}
+
 // rejectUnread reports whether a request is rejected by its headers alone, so that its body need not be read, and returns the answer. It
 // rejects a request if the core accepts none of its class at the moment, or if the connection belongs to the reserve and the class is
 // not idempotent.
@@ -153,7 +199,13 @@
 // reject responds to a request that could not be read or mapped. A client that closed or broke the connection gets no response.
 func (f *Front) reject(conn net.Conn, r *bufio.Reader, slot *listener.Slot, err error) {
 	var p *rejection
+	var noMemory *memoryError
 	switch {
+	case errors.As(err, &noMemory):
+		f.stats.Inc("turned_away", Name, "body_memory")
+		f.writeAnswer(conn, noMemory.answer(f.core.RetryAfter()))
+		linger.Close(conn, r, lingerTimeout, maxLingerBytes)
+		return
 	case errors.As(err, &p):
 	case errors.Is(err, errMalformed):
 		p = &rejection{"400 Bad Request", err.Error(), "malformed"}
@@ -175,18 +227,21 @@
 
 // awaitAnswer passes a request to the core and writes its answer. Meanwhile it reads from the connection to detect that the caller
 // closes it. The run of an idempotent request then goes on, and a retry gets its result. The function onWritten is called once the
-// answer is written.
-func (f *Front) awaitAnswer(conn net.Conn, r *bufio.Reader, q core.Request, onWritten func()) {
+// answer is written, and onOver once the request is over, which may be after awaitAnswer has returned.
+func (f *Front) awaitAnswer(conn net.Conn, r *bufio.Reader, q core.Request, onOver, onWritten func()) {
 	answered := make(chan struct{})
-	go f.core.Serve(q, func(a core.Answer) {
-		f.writeAnswer(conn, a, "X-Request-Id", q.ID)
-		close(answered)
-		if !linger.CloseWrite(conn) {
-			conn.Close()
-		}
-		conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		onWritten()
-	})
+	go func() {
+		defer onOver()
+		f.core.Serve(q, func(a core.Answer) {
+			f.writeAnswer(conn, a, "X-Request-Id", q.ID)
+			close(answered)
+			if !linger.CloseWrite(conn) {
+				conn.Close()
+			}
+			conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+			onWritten()
+		})
+	}()
 	var err error
 	for n := 0; err == nil; n++ { // bytes after the request are discarded
 		if _, err = r.Discard(1); n == maxLingerBytes {
--- a/internal/transport/scgi/message.go
+++ b/internal/transport/scgi/message.go
@@ -12,6 +12,9 @@
 	"io"
 	"strconv"
 	"strings"
+
+	"silverpath/internal/policy/admission"
+	"silverpath/internal/transport/bufferpool"
 )
 
 const (
@@ -38,16 +41,6 @@
 	body     []byte
 }
 
-// readMessage reads a request whose body has at most maxBody bytes. It returns io.EOF if the peer closed the connection without sending
-// anything, and an error that wraps errMalformed or errTooLarge for invalid input.
-func readMessage(r *bufio.Reader, maxBody int) (message, error) {
-	m, err := readHead(r)
-	if err == nil {
-		err = m.readBody(r, maxBody)
-	}
-	return m, err
-}
-
 // readHead reads the headers of a request, so that it can be rejected before its body is read. It returns io.EOF if the peer closed the
 // connection without sending anything.
 func readHead(r *bufio.Reader) (message, error) {
@@ -63,13 +56,12 @@
 }
 
 // readBody reads the body that follows the headers. It returns errTooLarge, before it allocates memory, if the stated size exceeds
-// maxBody.
-func (m *message) readBody(r *bufio.Reader, maxBody int) error {
+// maxBody, and bufferpool.ErrNoMemory if the reservation has no room for the body.
+func (m *message) readBody(r *bufio.Reader, maxBody int, reservation *admission.BodyReservation) (err error) {
 	if m.bodySize > uint64(maxBody) {
 		return fmt.Errorf("%w: a body of %d bytes", errTooLarge, m.bodySize)
 	}
-	m.body = make([]byte, m.bodySize)
-	_, err := io.ReadFull(r, m.body)
+	m.body, err = bufferpool.ReadBody(r, int(m.bodySize), reservation)
 	return unexpectedEOF(err)
 }
 
--- a/internal/transport/scgi/message_test.go
+++ b/internal/transport/scgi/message_test.go
@@ -30,6 +30,15 @@
 
 func read(s string) (message, error) { return readMessage(bufio.NewReader(strings.NewReader(s)), 100) }
 
+// readMessage reads a request whose body has at most maxBody bytes.
+func readMessage(r *bufio.Reader, maxBody int) (message, error) {
+	m, err := readHead(r)
+	if err == nil {
+		err = m.readBody(r, maxBody, admission.NewBodyBudget(1<<20).Reserve())
+	}
+	return m, err
+}
+
 func TestSpecimen(t *testing.T) {
 	m, err := read(specExample)
 	if err != nil || string(m.body) != "What is the answer to life?" || m.headers["REQUEST_URI"] != "/deepthought" {
@@ -173,7 +182,7 @@
 		t.Fatal(err)
 	}
 	up.ReportUp(t.Context())
-	f := New(c, settings.SCGI{MaxBody: 64, RequestKB: 20}, 1, discardLog, counters)
+	f := New(c, settings.SCGI{MaxBody: 64, RequestKB: 20}, admission.NewBodyBudget(1<<20), 1, discardLog, counters)
 	ln, err := listener.Listen(Name, "127.0.0.1:0", 100, c.IdleAfter, f.Serve, discardLog, counters)
 	if err != nil {
 		t.Fatal(err)
@@ -287,7 +296,7 @@
 			t.Fatal(err)
 		}
 		counters := &metrics.Counters{}
-		f := New(c, settings.SCGI{MaxBody: 64, RequestKB: 20, HalfClose: halfClose}, 1, log.New(io.Discard, "", 0), counters)
+		f := New(c, settings.SCGI{MaxBody: 64, RequestKB: 20, HalfClose: halfClose}, admission.NewBodyBudget(1<<20), 1, log.New(io.Discard, "", 0), counters)
 		done := make(chan struct{})
 		q, err := f.mapRequest(message{headers: map[string]string{"PATH_INFO": "/oddaja"}}, time.Now(), nil)
 		if err != nil {
@@ -295,7 +304,7 @@
 		}
 		go func() {
 			defer close(done)
-			f.awaitAnswer(serverConn, bufio.NewReader(strings.NewReader("")), q, func() {}) // the caller has closed its sending half
+			f.awaitAnswer(serverConn, bufio.NewReader(strings.NewReader("")), q, func() {}, func() {}) // the caller has closed its sending half
 		}()
 		id := <-started
 		if halfClose {
@@ -322,7 +331,7 @@
 func (r manualRunner) Probe()                     {}
 
 func TestIDsDiffer(t *testing.T) {
-	f := New(nil, settings.SCGI{}, 7, nil, &metrics.Counters{})
+	f := New(nil, settings.SCGI{}, nil, 7, nil, &metrics.Counters{})
 	seen := map[string]bool{}
 	for range 10000 {
 		id := f.newID()
@@ -346,7 +355,7 @@
 		t.Fatal(err)
 	}
 	defer c.Stop()
-	f := New(c, settings.SCGI{MaxBody: 64, RequestKB: 20}, 1, log.New(io.Discard, "", 0), &metrics.Counters{})
+	f := New(c, settings.SCGI{MaxBody: 64, RequestKB: 20}, admission.NewBodyBudget(1<<20), 1, log.New(io.Discard, "", 0), &metrics.Counters{})
 	trackingLn := newTrackingListener(t)
 	ln := listener.New(Name, trackingLn, 100, c.IdleAfter, f.Serve, log.New(io.Discard, "", 0), &metrics.Counters{})
 	go ln.Serve()
@@ -425,7 +434,7 @@
 		t.Fatal(err)
 	}
 	defer c.Stop()
-	f := New(c, settings.SCGI{MaxBody: 64, RequestKB: 1}, 1, log.New(io.Discard, "", 0), &metrics.Counters{})
+	f := New(c, settings.SCGI{MaxBody: 64, RequestKB: 1}, admission.NewBodyBudget(1<<20), 1, log.New(io.Discard, "", 0), &metrics.Counters{})
 	ln, err := listener.Listen(Name, "127.0.0.1:0", 100, c.IdleAfter, f.Serve, log.New(io.Discard, "", 0), &metrics.Counters{})
 	if err != nil {
 		t.Fatal(err)
