Requests of a client that has left are not sent on, and an id does not run twice

A request with an effect and without a key that came again under its id ran twice, after the deadline of its class or at the other process of a hot restart.

Cause: the kernel delivers what came before a reset. A failed write of an answer, the only sign that a client which closed in order has left, was taken for the loss of that answer alone. The SCGI front passed a request on before it looked for its caller. Ids were remembered for the deadline of their class and in one process.

--- a/cmd/silverpath/flood_test.go
+++ b/cmd/silverpath/flood_test.go
@@ -30,8 +30,16 @@
 // startFloodTargets starts a server and a router in front of it, both with both fronts.
 func startFloodTargets(t *testing.T) map[string]floodTarget {
 	t.Helper()
-	interpreter, err := builtinworker.Listen(builtinworker.Config{Listen: "127.0.0.1:0", Cores: 8, Shape: builtinworker.Shape{Knee: 8, Speed: 1}, Audit: true,
-		DefaultClass: builtinworker.Class{MinWork: 5 * time.Millisecond, MaxWork: 10 * time.Millisecond}, RunFactor: 1, Seed: 1})
+	targets, _ := startFloodTargetsWithWork(t, 8, 5*time.Millisecond)
+	return targets
+}
+
+// startFloodTargetsWithWork is startFloodTargets with an interpreter of the given cores, on which a run takes the given time. It returns the
+// interpreter too.
+func startFloodTargetsWithWork(t *testing.T, cores int, work time.Duration) (map[string]floodTarget, *builtinworker.Interpreter) {
+	t.Helper()
+	interpreter, err := builtinworker.Listen(builtinworker.Config{Listen: "127.0.0.1:0", Cores: cores, Shape: builtinworker.Shape{Knee: float64(cores), Speed: 1}, Audit: true,
+		DefaultClass: builtinworker.Class{MinWork: work, MaxWork: 2 * work}, RunFactor: 1, Seed: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,10 +48,11 @@
 		return writeFile(t, name+".json", fmt.Sprintf(`{"name":%q,"listen":"127.0.0.1:0","vm":%q,"stop_ms":1000,"seed":"%x",
  "limits":{"memory_mb":%d,"sockets":1024},"scgi":{"listen":"127.0.0.1:0","max_body":%d},
  "settings":{"classes":[{"name":"oddaja","target":900000,"deadline":2000000,"worth":3,"effect":"token","memory_span":2000000},
+  {"name":"zapis","target":900000,"deadline":2000000,"worth":1,"effect":"side_effect"},
   {"name":"krog","target":900000,"deadline":2000000,"worth":1,"effect":"pure"}],
- "family_info":{"below":"none","callers":2,"cpus":8,"gauges":["core_use","on_cores","heap_share","links"],"key_kb":0.1,
+ "family_info":{"below":"none","callers":2,"cpus":%d,"gauges":["core_use","on_cores","heap_share","links"],"key_kb":0.1,
  "memory_kb":65536,"run_factor":1},"rules":{"cold_from":1,"fall_multiple":8,"overload_for":3000000,"drain_grace":500000},
- "limits":{"retry_after":true,"max_retry_after":100000},"servers":1}}`, name, vm, name, floodMemoryMB, floodMaxBody))
+ "limits":{"retry_after":true,"max_retry_after":100000},"servers":1}}`, name, vm, name, floodMemoryMB, floodMaxBody, cores))
 	}
 	start := func(args ...string) floodTarget {
 		p := startServing(t, args...)
@@ -58,7 +67,7 @@
  "cells":[{"name":"a","capacity":1000}],"servers":[{"name":"s1","addr":%q,"cell":"a","from_ms":%d}],
  "tenants":[{"name":"","rate":1000,"homes":[{"cell":"a"}]}]}`, server.addr, time.Now().UnixMilli()+1))
 	router := start("route", "--config", config("r1", ""), "--edge", writeFile(t, "route.json", fmt.Sprintf(`{"status":true,"fleet":{"map":%q,"probe_ms":100}}`, mapFile)))
-	return map[string]floodTarget{"server": server, "router": router}
+	return map[string]floodTarget{"server": server, "router": router}, interpreter
 }
 
 // peakMemoryMB returns the largest resident set of a process so far.
--- a/cmd/silverpath/pipeline_test.go
+++ b/cmd/silverpath/pipeline_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -23,7 +22,7 @@
 			t.Fatal(err)
 		}
 		c.SetDeadline(deadline)
-		go io.Copy(io.Discard, c)
+		go waitUntilClosed(c)
 		for err == nil {
 			var b []byte
 			for range 50 {
--- a/internal/core/arrival.go
+++ b/internal/core/arrival.go
@@ -97,6 +97,8 @@
 		return "keys_full", rejected
 	case t.keyConflict:
 		return "key_conflict", Answer{Outcome: Invalid}
+	case t.repeatedID: // it may have run, and its result is not kept
+		return "same_id", Answer{Outcome: Failed}
 	case t.decision.Action != idempotency.Execute:
 		return t.decision.Reason, c.decisionAnswer(t.decision)
 	case t.movedReason != "":
--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"strings"
 	"time"
 
 	"silverpath"
@@ -48,7 +49,8 @@
 	movedUntil  time.Time         // until then the key runs elsewhere
 	movedRecord uint64            // number of the stored record of the move; 0 if there is none
 	isRead      bool              // the key is of a shared read
-	isMark      bool              // it was added because a router asked for the key; its memory counts as markBytes
+	isID        bool              // the key is the id of a request with an effect that has no idempotency key
+	isLimited   bool              // its memory counts as limitedBytes
 	bytes       int               // memory of the entry, results included
 }
 
@@ -56,20 +58,22 @@
 // run. The table's memory is limited. When it is full, requests with new keys are rejected: evicting a key could let its request
 // run twice. The table is guarded by the core's lock.
 type keyTable struct {
-	entries     map[string]*keyEntry
-	bytes       int
-	markBytes   int // part of bytes: of the entries that were added because a router asked for a key that is not known here
-	maxBytes    int
-	terms       idempotency.ClassTerms // of the classes in force
-	fingerprint func(t *task) uint64   // hash of what all attempts of a request have in common
+	entries map[string]*keyEntry
+	bytes   int
+	// limitedBytes is the part of bytes of the entries that are no runs of idempotency keys: keys that a router asked for and that are not known
+	// here, and ids.
+	limitedBytes int
+	maxBytes     int
+	terms        idempotency.ClassTerms // of the classes in force
+	fingerprint  func(t *task) uint64   // hash of what all attempts of a request have in common
 	// admitFirst decides on the first attempt of a key by the checks that UseStore and AddGate have added. If it is nil, all first
 	// attempts may run.
 	admitFirst func(t *task) idempotency.Decision
 }
 
-// markMemoryDivisor limits the marks of keys that routers have asked for to 1/markMemoryDivisor of the table. They cost no run, so a peer can
-// add them at any rate; without the limit it would fill the table, and every new key would be rejected.
-const markMemoryDivisor = 2
+// limitedMemoryDivisor limits limitedBytes to 1/limitedMemoryDivisor of the table. A question about a key costs no run, so a peer can ask at any
+// rate; without the limit its marks would fill the table, and every new key would be rejected.
+const limitedMemoryDivisor = 2
 
 // minKeyBytes is the minimum memory limit of the table, about a hundred keys with their results.
 const minKeyBytes = 64 << 10
@@ -90,20 +94,29 @@
 	return "\x00" + r.Key
 }
 
+// idKeyPrefix begins the table keys of ids.
+const idKeyPrefix = "\x02"
+
+// isIDKey reports whether a table key is the id of a request with an effect that has no idempotency key. Every attempt has an id of its own,
+// so such a request is not repeated, but a client may send it again under the same id after its connection broke: it must not run twice.
+func isIDKey(key string) bool { return strings.HasPrefix(key, idKeyPrefix) }
+
 // sharingKey returns the table key under which the request shares an execution with its attempts or with equal reads, or an empty
 // string.
 func (t *task) sharingKey(freshFor time.Duration) string {
 	switch {
 	case t.idempotent():
 		return keyOf(t.class, &t.Request)
-	case t.class.Effect == silverpath.Safe && freshFor > 0 && t.Object != "":
+	case t.class.Effect != silverpath.Safe:
+		return idKeyPrefix + t.ID
+	case freshFor > 0 && t.Object != "":
 		return t.Class + "\x01" + t.Object
 	}
 	return ""
 }
 
 // resolve finds the execution that a request duplicates, or adds the request's own execution if it is the first attempt of its
-// key. It returns false if the table, or its part for marks, is full. If the request may not run, resolve sets its keyConflict, movedReason or decision.
+// key. It returns false if the table, or its limited part, is full. If the request may not run, resolve sets its keyConflict, repeatedID, movedReason or decision.
 // Known executions are looked up before the rules for new keys, so a duplicate gets its result whatever has changed in the
 // meantime.
 func (k *keyTable) resolve(t *task, freshFor time.Duration, now time.Time) bool {
@@ -111,7 +124,10 @@
 	if key == "" {
 		return true
 	}
-	fingerprint := k.fingerprint(t)
+	fingerprint := uint64(0)
+	if !isIDKey(key) {
+		fingerprint = k.fingerprint(t)
+	}
 	e := k.entries[key]
 	if e != nil && e.duplicates(t, fingerprint, freshFor, now) {
 		if t.duplicateOf != nil && !e.isRead {
@@ -123,17 +139,21 @@
 	if k.blocksFirstAttempt(t, e, now) {
 		return true
 	}
-	if k.bytes >= k.maxBytes || t.OnlyIfKnown && e == nil && k.markBytes >= k.maxBytes/markMemoryDivisor {
-		return false
+	limited := t.OnlyIfKnown || isIDKey(key)
+	if k.bytes >= k.maxBytes || limited && e == nil && k.limitedBytes >= k.maxBytes/limitedMemoryDivisor {
+		return isIDKey(key) // a request without a key runs without being remembered
 	}
 	if e == nil {
 		e = k.add(key)
 		e.class, e.isRead = t.class.Name, t.class.Effect == silverpath.Safe
-		if e.isMark = t.OnlyIfKnown; e.isMark {
-			k.markBytes += e.bytes
+		if e.isLimited = limited; limited {
+			k.limitedBytes += e.bytes
 		}
 	}
-	if !e.isRead {
+	switch {
+	case e.isID:
+		e.terms.Window = max(e.terms.Window, t.class.Deadline, t.Deadline.Sub(t.ReceivedAt))
+	case !e.isRead:
 		e.noteClass(t.class)
 	}
 	if t.OnlyIfKnown {
@@ -162,6 +182,8 @@
 	switch {
 	case x == nil:
 		return false
+	case e.isID:
+		t.repeatedID = true
 	case x.fingerprint != fingerprint:
 		t.keyConflict = true
 	default:
@@ -189,7 +211,7 @@
 
 // add adds an empty entry for a key.
 func (k *keyTable) add(key string) *keyEntry {
-	e := &keyEntry{key: key, bytes: entryBytes + len(key)}
+	e := &keyEntry{key: key, bytes: entryBytes + len(key), isID: isIDKey(key)}
 	k.entries[key] = e
 	k.bytes += e.bytes
 	return e
@@ -241,10 +263,10 @@
 
 // markStarted records that a request starts to run. It returns false if another attempt of the request has run within the window.
 func (k *keyTable) markStarted(t *task) bool {
-	if !t.idempotent() {
+	x := t.execution
+	if !t.idempotent() && (x == nil || x.entry.isRead) {
 		return true
 	}
-	x := t.execution
 	if x == nil || x.entry.queued != x {
 		return x != nil && x.entry.latest == x
 	}
@@ -270,7 +292,7 @@
 		x.entry.latest = x.previous
 		return
 	}
-	if x.succeeded && x.entry.latest == x {
+	if x.succeeded && x.entry.latest == x && !x.entry.isID {
 		x.result = result
 		x.entry.bytes += len(result)
 		k.bytes += len(result)
@@ -304,8 +326,8 @@
 func (k *keyTable) remove(e *keyEntry) {
 	delete(k.entries, e.key)
 	k.bytes -= e.bytes
-	if e.isMark {
-		k.markBytes -= entryBytes + len(e.key)
+	if e.isLimited {
+		k.limitedBytes -= entryBytes + len(e.key)
 	}
 }
 
--- a/internal/core/idempotency_test.go
+++ b/internal/core/idempotency_test.go
@@ -293,7 +293,7 @@
 		t.Error("a new key may not run beside the questions")
 	}
 	k.evictExpired(t0.Add(time.Minute))
-	if k.markBytes != 0 {
-		t.Errorf("%d bytes of marks are left after they expired", k.markBytes)
+	if k.limitedBytes != 0 {
+		t.Errorf("%d bytes of marks are left after they expired", k.limitedBytes)
 	}
 }
--- a/internal/core/peernotify.go
+++ b/internal/core/peernotify.go
@@ -7,12 +7,17 @@
 )
 
 // notifyStart is called under the lock when a run is about to start. It returns how the other process must be notified before the
-// start, and on which link.
+// start, and on which link. A run of a request without an idempotency key is only announced: no retry of it is expected, so its start does
+// not wait for the other process.
 func (c *Core) notifyStart(x *execution) (notice hotrestart.Notice, linkID int) {
 	if c.pair == nil || x == nil || x.entry.isRead {
 		return hotrestart.NoNotice, 0
 	}
-	notice = c.pair.coordinator.RunStarts(x.forPeer())
+	if x.entry.isID {
+		c.pair.coordinator.AnnounceRun(x.forPeer())
+	} else {
+		notice = c.pair.coordinator.RunStarts(x.forPeer())
+	}
 	c.applyPairEffects()
 	return notice, c.pair.linkID
 }
@@ -64,7 +69,7 @@
 
 // notifyDropped notifies the other process that a run never started. It is called under the lock.
 func (c *Core) notifyDropped(x *execution) {
-	if c.pair != nil && !x.entry.isRead {
+	if c.pair != nil && !x.entry.isRead && !x.entry.isID {
 		c.pair.coordinator.RequestDropped(x.entry.key)
 		c.applyPairEffects()
 	}
--- a/internal/core/task.go
+++ b/internal/core/task.go
@@ -33,6 +33,7 @@
 	execution   *execution           // the run of this attempt, queued or started; nil unless the request is idempotent or a shared read
 	duplicateOf *execution           // the run of another attempt that this one duplicates
 	keyConflict bool                 // another request with a different body or tenant has the same key
+	repeatedID  bool                 // a request with an effect, without an idempotency key, has run under the same id
 	movedReason string               // why its key may not start a run here, a Reason or blockedBy, for the router; empty if it may
 	decision    idempotency.Decision // the decision of keyTable.admitFirst
 	blockedBy   string               // why the routing rules forbid a new run, empty if they do not
--- a/internal/policy/hotrestart/claims.go
+++ b/internal/policy/hotrestart/claims.go
@@ -116,6 +116,9 @@
 	return NoticeByMark
 }
 
+// AnnounceRun sends the peer a run that may start before the peer is told. The key has no claims.
+func (c *Coordinator) AnnounceRun(e Execution) { c.RunEnded(e) }
+
 // NoticeLost is called when the message with a run's notice could not be written. The caller leaves the mark instead.
 func (c *Coordinator) NoticeLost() { c.marks++ }
 
--- a/internal/transport/linger/linger.go
+++ b/internal/transport/linger/linger.go
@@ -70,3 +70,37 @@
 	}
 	return state
 }
+
+// ResetDetector tells whether the peer of a connection has reset it. The kernel still delivers bytes that arrived before a reset, so a reader
+// learns of it only after the last of them. It is used by one goroutine.
+type ResetDetector struct {
+	raw   syscall.RawConn // nil: the connection has no socket
+	poll  func(fd uintptr)
+	fds   [1]unix.PollFd
+	reset bool
+}
+
+// NewResetDetector returns a detector for a connection. For a connection without a socket, such as an in-memory pipe, it detects nothing.
+func NewResetDetector(conn net.Conn) *ResetDetector {
+	d := &ResetDetector{}
+	if s, ok := conn.(syscall.Conn); ok {
+		d.raw, _ = s.SyscallConn()
+	}
+	d.poll = func(fd uintptr) { // made once: a closure for each call would be allocated
+		d.fds[0] = unix.PollFd{Fd: int32(fd)}
+		n, err := unix.Poll(d.fds[:], 0)
+		d.reset = err == nil && n > 0 && d.fds[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0
+	}
+	return d
+}
+
+// Reset reports whether the connection was reset. It does not block and does not consume input. After both sides have shut down their sending
+// halves it reports true as well.
+func (d *ResetDetector) Reset() bool {
+	if d.raw == nil {
+		return false
+	}
+	d.reset = true // stays if the connection is closed here
+	_ = d.raw.Control(d.poll)
+	return d.reset
+}
--- a/internal/transport/msgpackrpc/close_test.go
+++ b/internal/transport/msgpackrpc/close_test.go
@@ -249,3 +249,62 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against requests that run after their balancer has closed the connection in order. The close alone doesn't show that it has left, as
+// it may still read; the first answer that can't be written does. The requests that are queued by then are dropped.
+func TestFailedWriteDropsTheRequestsOfTheConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	w, _, counters := startFront(t, ln, 10)
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const requests = 60
+	var b []byte
+	for id := range uint64(requests) {
+		b = append(b, encodeRequest(id+1)...)
+	}
+	if _, err := conn.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	running := startedRuns(w)
+	r := bufio.NewReader(conn)
+	for range requests - w.PendingAnswers() { // rejections; a close with unread answers would be a reset
+		if _, err := ReadReply(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	conn.Close()
+	end := func() {
+		w.RunEnded(running[0], silverpath.OK, time.Millisecond, []byte("done"))
+		running = append(running[1:], startedRuns(w)...)
+	}
+	for counters.Get("write_failed", Name) == 0 {
+		if len(running) == 0 {
+			t.Fatal("no write of an answer has failed")
+		}
+		end()
+	}
+	for began := len(running); began > 0; began-- {
+		end()
+	}
+	if len(running) > 0 || counters.Get("answered", Name, "x", "gone") == 0 {
+		t.Errorf("%d requests ran after a write had failed", len(running))
+	}
+}
+
+// startedRuns returns the runs that begin until none does for a while.
+func startedRuns(w worker) (ids []string) {
+	for {
+		select {
+		case id := <-w.runs:
+			ids = append(ids, id)
+		case <-time.After(100 * time.Millisecond):
+			return ids
+		}
+	}
+}
--- a/internal/transport/msgpackrpc/front.go
+++ b/internal/transport/msgpackrpc/front.go
@@ -14,6 +14,7 @@
 	"silverpath/internal/core"
 	"silverpath/internal/metrics"
 	"silverpath/internal/transport/bufferpool"
+	"silverpath/internal/transport/linger"
 	"silverpath/internal/transport/listener"
 )
 
@@ -35,6 +36,7 @@
 	*Front
 	conn net.Conn
 	slot *listener.Slot
+	peer *linger.ResetDetector // used only by the reading goroutine
 
 	mu             sync.Mutex
 	pending        map[uint64]string // request ids of requests in flight, by message id
@@ -50,7 +52,7 @@
 
 // Serve reads and answers the messages of one connection until it ends. It returns after every answer is written or its write has failed.
 func (f *Front) Serve(conn net.Conn, slot *listener.Slot) {
-	c := &frontConn{Front: f, conn: conn, slot: slot, pending: map[uint64]string{}}
+	c := &frontConn{Front: f, conn: conn, slot: slot, peer: linger.NewResetDetector(conn), pending: map[uint64]string{}}
 	slot.OnDrain(c.notifyDrain)
 	r := bufferpool.GetReader(conn)
 	defer bufferpool.PutReader(r)
@@ -79,8 +81,12 @@
 	slot.CloseGracefully(r)
 }
 
+// errReset is returned by readMessages if the peer has reset the connection while messages were unread. They are not handled: their sender
+// has left, and no answer would arrive.
+var errReset = errors.New("reset by the peer")
+
 // readMessages reads and handles messages. It returns nil if the slot was evicted when a message arrived; that message is not handled.
-// It returns io.EOF if the stream ended between two messages.
+// It returns io.EOF if the stream ended between two messages, and errReset or the error of the read if the connection broke.
 func (c *frontConn) readMessages(r *bufio.Reader, d decoder, requests *sync.WaitGroup) error {
 	c.conn.SetReadDeadline(time.Now().Add(listener.MessageTimeout)) // a peer that sends nothing does not keep its slot
 	for n := 1; ; n++ {
@@ -99,6 +105,10 @@
 		if !c.slot.BeginMessage() {
 			return nil
 		}
+		if c.peer.Reset() {
+			c.stats.Inc("unread_reset", Name)
+			return errReset
+		}
 		err = c.handle(m, requests)
 		if r.Buffered() == 0 { // otherwise the slot must not be evicted: buffered bytes do not show as unread on the socket
 			c.slot.EndMessage()
@@ -109,7 +119,9 @@
 	}
 }
 
-// abort closes a connection on which no answer can be sent any more, and reports each request in flight to the core as abandoned.
+// abort closes a connection on which no answer can be sent any more, and reports each request in flight to the core as abandoned. It is
+// called by the reading goroutine, and when the write of an answer fails: a peer that closed its connection in order is only then known
+// to have left, as it might have closed just its sending half.
 func (c *frontConn) abort() {
 	c.conn.Close()
 	c.mu.Lock()
@@ -150,9 +162,16 @@
 	_, _ = c.conn.Write(appendUint(appendArray(appendStr(appendUint(appendArray(nil, 3), uint64(notification)), methodLastTaken), 1), id))
 }
 
-// write writes the message that message appends to a pooled buffer. If the write fails, it closes the connection and nothing more is
-// written; the reading goroutine then fails to read and calls abort.
+// write writes the message that message appends to a pooled buffer. If the write fails, it aborts the connection, and nothing more is written.
 func (c *frontConn) write(message func([]byte) []byte) {
+	if err := c.writeMessage(message); err != nil {
+		c.stats.Inc("write_failed", Name)
+		c.abort()
+	}
+}
+
+// writeMessage writes a message, unless the connection is broken.
+func (c *frontConn) writeMessage(message func([]byte) []byte) error {
 	b := bufferpool.Get()
 	defer bufferpool.Put(b)
 	c.writing.Lock()
@@ -161,18 +180,12 @@
 	broken := c.broken
 	c.mu.Unlock()
 	if broken {
-		return
+		return nil
 	}
 	*b = message(*b)
 	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	startedAt := time.Now()
 	_, err := c.conn.Write(*b)
 	c.writes.Record(time.Since(startedAt))
-	if err != nil {
-		c.stats.Inc("write_failed", Name)
-		c.mu.Lock()
-		c.broken = true
-		c.mu.Unlock()
-		c.conn.Close()
-	}
+	return err
 }
--- a/internal/transport/scgi/front.go
+++ b/internal/transport/scgi/front.go
@@ -120,6 +120,11 @@
 		reservation.Release()
 		return // the connection was evicted meanwhile, and the request never ran
 	}
+	if r.Buffered() == 0 && f.callerLeft(conn) {
+		reservation.Release()
+		f.stats.Inc("dropped", Name)
+		return // before its request was passed to the core, so it never ran
+	}
 	conn.SetReadDeadline(time.Time{})
 	slot.SetInFlight(1)
 	f.awaitAnswer(conn, r, q, reservation.Release, func() { // from here on the listener may evict the connection
@@ -128,6 +133,14 @@
 	})
 }
 
+// callerLeft reports whether the caller has closed its connection, or reset it if callers that close their sending half still wait.
+func (f *Front) callerLeft(conn net.Conn) bool {
+	if f.cfg.HalfClose {
+		return linger.NewResetDetector(conn).Reset()
+	}
+	return linger.Peek(conn) == linger.Closed
+}
+
 // answerByHead answers a request that needs no body: a status request, or one that is rejected by its headers alone. It reports whether it
 // did.
 func (f *Front) answerByHead(conn net.Conn, r *bufio.Reader, slot *listener.Slot, m message) bool {
