--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -139,23 +139,13 @@
 	if k.blocksFirstAttempt(t, e, now) {
 		return true
 	}
-	limited := t.OnlyIfKnown || isIDKey(key)
-	if k.bytes >= k.maxBytes || limited && e == nil && k.limitedBytes >= k.maxBytes/limitedMemoryDivisor {
+	if !k.hasRoom(t, key, e == nil) {
 		return isIDKey(key) // a request without a key runs without being remembered
 	}
 	if e == nil {
-		e = k.add(key)
-		e.class, e.isRead = t.class.Name, t.class.Effect == silverpath.Safe
-		if e.isLimited = limited; limited {
-			k.limitedBytes += e.bytes
-		}
-	}
-	switch {
-	case e.isID:
-		e.terms.Window = max(e.terms.Window, t.class.Deadline, t.Deadline.Sub(t.ReceivedAt))
-	case !e.isRead:
-		e.noteClass(t.class)
+		e = k.addFor(t, key)
 	}
+	e.noteAttempt(t)
 	if t.OnlyIfKnown {
 		e.markMoved(t, now)
 	} else {
@@ -209,6 +199,38 @@
 	return true
 }
 
+// hasRoom reports whether the table has room for a request, whose key is new to it or not.
+func (k *keyTable) hasRoom(t *task, key string, isNew bool) bool {
+	if k.bytes >= k.maxBytes {
+		return false
+	}
+	return !isNew || !isLimited(t, key) || k.limitedBytes < k.maxBytes/limitedMemoryDivisor
+}
+
+// isLimited reports whether the entry of a request counts as limitedBytes.
+func isLimited(t *task, key string) bool { return t.OnlyIfKnown || isIDKey(key) }
+
+// addFor adds an empty entry for the key of a request.
+func (k *keyTable) addFor(t *task, key string) *keyEntry {
+	e := k.add(key)
+	e.class, e.isRead = t.class.Name, t.class.Effect == silverpath.Safe
+	if e.isLimited = isLimited(t, key); e.isLimited {
+		k.limitedBytes += e.bytes
+	}
+	return e
+}
+
+// noteAttempt extends the terms of an entry to those of an attempt. An id is remembered for the deadline of its class, or for as long as its
+// client waits.
+func (e *keyEntry) noteAttempt(t *task) {
+	switch {
+	case e.isID:
+		e.terms.Window = max(e.terms.Window, t.class.Deadline, t.Deadline.Sub(t.ReceivedAt))
+	case !e.isRead:
+		e.noteClass(t.class)
+	}
+}
+
 // add adds an empty entry for a key.
 func (k *keyTable) add(key string) *keyEntry {
 	e := &keyEntry{key: key, bytes: entryBytes + len(key), isID: isIDKey(key)}
