The test of clients that leave waits until every thread of the paused process has stopped

The signal stops the threads of a process one after the other, and one that still ran read the first requests before their client had left.

Change: the test waits for the state T of every thread in /proc, and continues the process 50 ms after the client has left, so that the kernel has delivered the close. Its bounds are unchanged.

--- a/cmd/silverpath/leaving_test.go
+++ b/cmd/silverpath/leaving_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -48,10 +50,43 @@
 	}
 }
 
-// signal sends a signal to the process of a target.
-func (f floodTarget) signal(t testing.TB, s unix.Signal) {
+// pause stops the process of a target, and waits until each of its threads has stopped: until then one may still read.
+func (f floodTarget) pause(t testing.TB) {
 	t.Helper()
-	if err := unix.Kill(f.Pid(), s); err != nil {
+	if err := unix.Kill(f.Pid(), unix.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(10 * time.Second); !allThreadsStopped(t, f.Pid()); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("process %d doesn't stop", f.Pid())
+		}
+	}
+}
+
+// allThreadsStopped reports whether every thread of a process is stopped by a signal.
+func allThreadsStopped(t testing.TB, pid int) bool {
+	t.Helper()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("threads of process %d: %v, %v", pid, files, err)
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			return false // the thread has just ended
+		}
+		if _, state, _ := strings.Cut(string(stat), ") "); !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
+// resume continues a paused process, after the kernel had time to deliver what clients have sent.
+func (f floodTarget) resume(t testing.TB) {
+	t.Helper()
+	time.Sleep(50 * time.Millisecond)
+	if err := unix.Kill(f.Pid(), unix.SIGCONT); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -98,9 +133,9 @@
 				want  int // largest number of runs
 			}{"msgpack reset": {pipelined, 0}, "msgpack closed": {pipelined, inProgress}, "scgi closed": {single, 0}} {
 				prefix := fmt.Sprintf("%s %s %s", name, class, kind)
-				f.signal(t, unix.SIGSTOP) // all that the client does arrives before the process reads
+				f.pause(t) // all that the client does arrives before the process reads
 				c.leave(prefix)
-				f.signal(t, unix.SIGCONT)
+				f.resume(t)
 				time.Sleep(700 * time.Millisecond) // for a quarter of the requests that wait
 				n := runsWithPrefix(interpreter, prefix)
 				t.Logf("%s: %d of %d requests ran", prefix, n, requests)
